--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,118 @@
+//! Reads the wire's settings into the project's words. Keys that are not named here are skipped.
+
+use std::time::Duration;
+
+use ashvane::{BudgetSettings, Effect, Settings, VerticalSettings};
+use serde_json::Value;
+
+/// A value somewhere in the settings, and the way to it for messages.
+struct At<'a>(&'a Value, String);
+
+impl<'a> At<'a> {
+    fn maybe(&self, key: &str) -> Option<At<'a>> {
+        let found = self.0.get(key).filter(|v| !v.is_null())?;
+        Some(At(found, format!("{}.{key}", self.1)))
+    }
+
+    fn get(&self, key: &str) -> Result<At<'a>, String> {
+        self.maybe(key).ok_or_else(|| format!("settings: {}.{key} is missing", self.1))
+    }
+
+    fn wrong(&self, kind: &str) -> String {
+        format!("settings: {} is not {kind}", self.1)
+    }
+
+    fn number(&self) -> Result<f64, String> {
+        self.0.as_f64().filter(|n| n.is_finite() && *n >= 0.0).ok_or_else(|| self.wrong("a number"))
+    }
+
+    fn count(&self) -> Result<u32, String> {
+        Ok(self.number()?.min(f64::from(u32::MAX)) as u32)
+    }
+
+    fn micros(&self) -> Result<Duration, String> {
+        let seconds = self.number()? / 1e6;
+        Duration::try_from_secs_f64(seconds).map_err(|_| self.wrong("a time"))
+    }
+
+    fn flag(&self) -> Result<bool, String> {
+        self.0.as_bool().ok_or_else(|| self.wrong("true or false"))
+    }
+
+    fn text(&self) -> Result<&'a str, String> {
+        self.0.as_str().ok_or_else(|| self.wrong("a text"))
+    }
+
+    fn rows(&self) -> Result<Vec<At<'a>>, String> {
+        let rows = self.0.as_array().ok_or_else(|| self.wrong("a list"))?;
+        let row = |(i, v)| At(v, format!("{}[{i}]", self.1));
+        Ok(rows.iter().enumerate().map(row).collect())
+    }
+
+    fn row(&self, index: usize) -> Result<At<'a>, String> {
+        self.rows()?.into_iter().nth(index).ok_or_else(|| self.wrong("long enough"))
+    }
+}
+
+fn vertical(class: &At, index: usize, fan: &At) -> Result<VerticalSettings, String> {
+    let effect = match class.get("effect")?.text()? {
+        "retryable" => Effect::Repeatable,
+        "dedup" => Effect::Deduplicated(class.get("window_us")?.micros()?),
+        "fragile" => Effect::SideEffecting,
+        _ => return Err(class.get("effect")?.wrong("a known effect")),
+    };
+    Ok(VerticalSettings {
+        need: fan.get("class_need")?.row(index)?.number()?,
+        floor: fan.get("floor_by_class")?.row(index)?.number()?,
+        follow_up: fan.get("follow_up")?.row(index)?.count()?,
+        slo: class.get("aim_us")?.micros()?,
+        late_utility: class.get("late_share")?.number()?,
+        effect,
+    })
+}
+
+pub fn read(seed: u64, json: &str) -> Result<Settings, String> {
+    let value: Value = serde_json::from_str(json).map_err(|e| format!("settings: {e}"))?;
+    let root = At(&value, "config".into());
+    let (fan, limits, rules) = (root.get("family_info")?, root.get("policy_limits")?, root.get("rules")?);
+    let classes = root.get("request_classes")?.rows()?;
+    let verticals = classes.iter().enumerate().map(|(i, c)| vertical(c, i, &fan));
+    let tenants = root.maybe("projects").map_or(Ok(Vec::new()), |t| t.rows())?;
+    let on_request = root.get("membership_mode")?.text()? == "on_request";
+    let back = limits.get("retry_after")?.flag()?;
+    let budget = match (rules.maybe("budget_span_us"), rules.maybe("extra_per_request")) {
+        (Some(span), Some(share)) => Some(BudgetSettings {
+            span: span.micros()?,
+            least: rules.maybe("min_extra").map_or(Ok(0.0), |n| n.number())?,
+            share: share.number()?,
+        }),
+        _ => None,
+    };
+    Ok(Settings {
+        seed,
+        gatherers: root.get("balancers")?.count()?,
+        tick: root.get("quantum_us")?.micros()?,
+        verticals: verticals.collect::<Result<_, _>>()?,
+        tenant_rates: tenants.iter().map(|t| t.get("quota_per_s")?.number()).collect::<Result<_, _>>()?,
+        cells: fan.get("positions")?.count()?,
+        span: fan.get("span")?.count()?,
+        parts_a_call: fan.get("parts_a_call")?.count()?,
+        most_calls: limits.get("max_attempts")?.count()?,
+        most_held: limits.get("most_held")?.count()? as usize,
+        second_copies: limits.get("second_copies")?.flag()?,
+        call_off: limits.get("may_cancel")?.flag()?,
+        back_after: match (back, limits.maybe("max_retry_after_us")) {
+            (true, Some(most)) => Some(most.micros()?),
+            _ => None,
+        },
+        ask_within: match rules.maybe("must_ask_in_us") {
+            Some(within) if on_request => Some(within.micros()?),
+            _ => None,
+        },
+        budget,
+        cold_from: rules.get("cold_from")?.number()?,
+        cold_time: rules.get("cold_us")?.micros()?,
+        overload_factor: rules.get("overload_factor")?.number()?,
+        fall_time: rules.get("fall_us")?.micros()?,
+    })
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,866 @@
+//! Every decision of a gatherer: which replica a part goes to, when a spare is released, when a
+//! query is answered or given up, which servers are shunned.
+//!
+//! How to call it: make one [`Gatherer`] from a [`Host`] and the start [`Settings`], tell it the
+//! time with `at`, then call the method named after what happened. It acts at once by calling the
+//! host. Both types, and how a leaf call can end, stand in `lib.rs`. `docs/design.md` has the why.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::{BudgetSettings, Effect, Health, Host, Outcome, Settings};
+
+/// Share of the SLO time after which a part is overdue. The design's start value.
+const THRESHOLD: f64 = 0.5;
+/// Servers that may look impaired at once; one more trips the breaker. The source's value.
+const IMPAIRED_MOST: usize = 2;
+/// How long a server counts as impaired. The design's start value.
+const IMPAIRED_WINDOW: Duration = Duration::from_secs(10);
+/// How long the tripped breaker halts spares. The design's start value.
+const COOLDOWN: Duration = Duration::from_secs(5);
+/// Spares a second for each part sent in that second, at least one. The design's start value.
+const CAP_SHARE: f64 = 0.1;
+/// The cap's second.
+const CAP_SPAN: Duration = Duration::from_secs(1);
+/// Calls out at which a part leaves its home. The design's start value.
+const HOME_BOUND: usize = 4;
+/// Times the fleet's median pace at which a server is shunned. Below 2 the spread among healthy
+/// servers' answers would do it; far above, a server at a third of its speed would keep its parts.
+const SHUN: f64 = 2.0;
+/// Pace that a failed leaf call counts as: one failure shuns a server until a trial clears it.
+const FAILED_PACE: f64 = 8.0;
+/// Weight of the latest answer in a server's pace: some five answers change it.
+const PACE_WEIGHT: f64 = 0.3;
+/// Weight of the latest answer in a vertical's usual latency: some fifty answers change it.
+const USUAL_WEIGHT: f64 = 0.02;
+/// Usual latency of a part before any answer, as a share of the SLO time.
+const USUAL_AT_FIRST: f64 = 0.1;
+/// Wait from one trial of a shunned server to the next, doubling from the first to the second.
+const TRIAL_FIRST: Duration = Duration::from_secs(1);
+const TRIAL_LAST: Duration = Duration::from_secs(8);
+/// The slowest of a query's parts against the slowest expected, before any query is done.
+const STRETCH_AT_FIRST: f64 = 1.5;
+/// Weight of the latest query in that figure.
+const STRETCH_WEIGHT: f64 = 0.05;
+/// Share of the SLO time in which queries beyond a tenant's share must be predicted to be done.
+const BEYOND_SHARE: f64 = 0.4;
+/// A tenant's share is counted over this long.
+const SHARE_SPAN: Duration = Duration::from_secs(2);
+/// Time over which a server's answers a second are averaged.
+const RATE_SPAN: Duration = Duration::from_secs(5);
+/// Share of the cold servers' limit that is used: our view of what a warm one takes is rough.
+const COLD_SAFETY: f64 = 0.7;
+/// A wake this much later than asked shows that this gatherer was starved.
+const STARVED: Duration = Duration::from_millis(100);
+/// Wait for a server that may take a part, where none may now.
+const NO_SERVER_WAIT: Duration = Duration::from_millis(50);
+/// First wait before the list is asked for again; it doubles, up to half the stated time.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Share of the stated time after which a quiet list is asked for again.
+const ASK_SHARE: f64 = 0.4;
+/// Weights may fall short by rounding.
+const WEIGHT_SLACK: f64 = 1e-6;
+/// The list's token for wakes; a query's is its number, and those stay below.
+const LIST_TOKEN: u64 = 1 << 60;
+
+type ServerId = Rc<str>;
+
+struct Vertical {
+    need: f64,
+    floor: f64,
+    follow_up: u32,
+    slo: Duration,
+    late_utility: f64,
+    effect: Effect,
+    threshold: Duration,
+    /// Usual latency of a part, in seconds, in the first and the second step.
+    usual: [f64; 2],
+    /// Mean cost hint of a part, in seconds.
+    hint: f64,
+    stretch: f64,
+}
+
+struct Tenant {
+    rate: f64,
+    left: f64,
+    counted: Duration,
+}
+
+/// A leaf call that is out.
+struct Call {
+    part: u64,
+    number: u32,
+    sent: Duration,
+    expected: f64,
+}
+
+/// All that is known of a shard server.
+struct Server {
+    health: Health,
+    cell: u32,
+    /// When it started, while that can still mean that it is cold.
+    started: Option<Duration>,
+    calls: Vec<Call>,
+    /// Latency of its answers against the expected one.
+    pace: f64,
+    trial: Duration,
+    trial_wait: Duration,
+    impaired: Option<Duration>,
+    /// Answers a second, and when that was counted.
+    rate: f64,
+    rated: Duration,
+    /// Sends to it while cold.
+    cold_sends: VecDeque<Duration>,
+}
+
+struct Part {
+    id: u64,
+    shard: u32,
+    weight: f64,
+    hint: Option<f64>,
+    step: usize,
+    /// To be sent, or sent: all other parts are held.
+    wanted: bool,
+    done: bool,
+    /// Its overdue call has had its spare.
+    spared: bool,
+    calls: u32,
+    out: u32,
+    maybe_ran: bool,
+    first_sent: Duration,
+    last_sent: Duration,
+    tried: Vec<ServerId>,
+}
+
+struct Query {
+    id: u64,
+    vertical: usize,
+    tenant: Option<usize>,
+    key: u64,
+    came: Duration,
+    until: Duration,
+    parts: Vec<Part>,
+    step: usize,
+    awaited: usize,
+    whole: bool,
+    predicted: f64,
+    due: Option<Duration>,
+}
+
+/// One gatherer's decisions.
+pub struct Gatherer<H: Host> {
+    host: H,
+    now: Duration,
+    /// Waits are counted from here on at the earliest: before it this gatherer was starved.
+    awake: Duration,
+    rng: fastrand::Rng,
+    verticals: Vec<Vertical>,
+    tenants: Vec<Tenant>,
+    servers: BTreeMap<ServerId, Server>,
+    queries: BTreeMap<u64, Query>,
+    /// The query's number for the id of each query and part held.
+    numbers: BTreeMap<u64, u64>,
+    cells: u32,
+    span: u32,
+    parts_a_call: usize,
+    most_calls: u32,
+    held_limit: usize,
+    second_copies: bool,
+    call_off: bool,
+    back_after: Option<Duration>,
+    end_margin: Duration,
+    ask_every: Option<Duration>,
+    ask_wait: Duration,
+    list_heard: Duration,
+    budget: Option<BudgetSettings>,
+    taken: VecDeque<Duration>,
+    extras: VecDeque<Duration>,
+    cold_from: f64,
+    cold_time: Duration,
+    fall_time: Duration,
+    /// Seconds of a cold server's full capacity that this gatherer may send in one fall time.
+    cold_allowance: f64,
+    sends: VecDeque<Duration>,
+    spares: VecDeque<Duration>,
+    halted_until: Duration,
+}
+
+fn hash(key: u64, text: &str) -> u64 {
+    let mut h = key ^ 0xcbf2_9ce4_8422_2325;
+    for b in text.bytes() {
+        h = (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    }
+    h = (h ^ (h >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    h ^ (h >> 29)
+}
+
+fn forget(times: &mut VecDeque<Duration>, before: Duration) {
+    while times.front().is_some_and(|t| *t < before) {
+        times.pop_front();
+    }
+}
+
+impl<H: Host> Gatherer<H> {
+    pub fn new(host: H, settings: &Settings, now: Duration) -> Self {
+        let verticals = settings.verticals.iter().map(|v| Vertical {
+            need: v.need,
+            floor: v.floor,
+            follow_up: v.follow_up,
+            slo: v.slo,
+            late_utility: v.late_utility,
+            effect: v.effect,
+            threshold: v.slo.mul_f64(THRESHOLD),
+            usual: [v.slo.as_secs_f64() * USUAL_AT_FIRST; 2],
+            hint: 0.0,
+            stretch: STRETCH_AT_FIRST,
+        });
+        let gatherers = f64::from(settings.gatherers.max(1));
+        let tenants = settings.tenant_rates.iter().map(|rate| Tenant {
+            rate: rate / gatherers,
+            left: rate / gatherers * SHARE_SPAN.as_secs_f64(),
+            counted: now,
+        });
+        let mut gatherer = Gatherer {
+            host,
+            now,
+            awake: now,
+            rng: fastrand::Rng::with_seed(settings.seed),
+            verticals: verticals.collect(),
+            tenants: tenants.collect(),
+            servers: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            cells: settings.cells.max(1),
+            span: settings.span,
+            parts_a_call: settings.parts_a_call.max(1) as usize,
+            most_calls: settings.most_calls.max(1),
+            held_limit: settings.most_held / 2,
+            second_copies: settings.second_copies,
+            call_off: settings.call_off,
+            back_after: settings.back_after,
+            end_margin: settings.tick * 2,
+            ask_every: settings.ask_within.map(|t| t.mul_f64(ASK_SHARE)),
+            ask_wait: ASK_AGAIN,
+            list_heard: now,
+            budget: settings.budget,
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+            cold_from: settings.cold_from,
+            cold_time: settings.cold_time,
+            fall_time: settings.fall_time,
+            cold_allowance: settings.overload_factor * settings.fall_time.as_secs_f64() * COLD_SAFETY,
+            sends: VecDeque::new(),
+            spares: VecDeque::new(),
+            halted_until: now,
+        };
+        if let Some(every) = gatherer.ask_every {
+            gatherer.host.watch_list();
+            gatherer.host.wake(LIST_TOKEN, every);
+        }
+        gatherer
+    }
+
+    /// The time of what happens next.
+    pub fn at(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    /// A list of servers begins: all of them, or changes only.
+    pub fn list_begins(&mut self, all: bool) {
+        self.list_heard = self.now;
+        self.ask_wait = ASK_AGAIN;
+        if all {
+            self.servers.values_mut().for_each(|s| s.health = Health::Gone);
+        }
+    }
+
+    /// The list names a server. A start that we have not seen makes it new, and perhaps cold.
+    pub fn server_listed(&mut self, id: &str, health: Health, cell: u32, started: Option<Duration>) {
+        let cold_until = started.map(|t| t + self.cold_time);
+        let started = started.filter(|_| cold_until > Some(self.now));
+        let now = self.now;
+        let server = self.servers.entry(id.into()).or_insert_with(|| Server {
+            health,
+            cell,
+            started,
+            calls: Vec::new(),
+            pace: 1.0,
+            trial: now,
+            trial_wait: TRIAL_FIRST,
+            impaired: None,
+            rate: 0.0,
+            rated: now,
+            cold_sends: VecDeque::new(),
+        });
+        if started.is_some() && server.started != started {
+            server.pace = 1.0;
+            server.trial_wait = TRIAL_FIRST;
+        }
+        (server.health, server.cell, server.started) = (health, cell, started);
+    }
+
+    /// The list is through. Servers that are gone are forgotten once nothing is out at them.
+    pub fn list_ends(&mut self) {
+        self.servers.retain(|_, s| s.health != Health::Gone || !s.calls.is_empty());
+    }
+
+    /// The list could not be had, or no longer follows its changes: ask again, ever more slowly.
+    pub fn list_failed(&mut self) {
+        let Some(every) = self.ask_every else { return };
+        self.host.wake(LIST_TOKEN, self.ask_wait.mul_f64(0.75 + self.rng.f64() / 2.0));
+        self.ask_wait = (self.ask_wait * 2).min(every);
+        self.list_heard = self.now.saturating_sub(every);
+    }
+
+    /// A query came; its parts follow before time moves on.
+    #[allow(clippy::too_many_arguments)]
+    pub fn query_came(
+        &mut self,
+        id: u64,
+        number: u64,
+        vertical: usize,
+        tenant: Option<usize>,
+        key: Option<&str>,
+        until: Duration,
+        parts: usize,
+    ) {
+        self.taken.push_back(self.now);
+        if vertical >= self.verticals.len() {
+            return self.host.abort(id);
+        }
+        self.numbers.insert(id, number);
+        let key = key.map_or_else(|| hash(number, ""), |k| hash(0, k));
+        let query = Query {
+            id,
+            vertical,
+            tenant: tenant.filter(|t| *t < self.tenants.len()),
+            key,
+            came: self.now,
+            until,
+            parts: Vec::with_capacity(parts),
+            step: 0,
+            awaited: parts,
+            whole: true,
+            predicted: 0.0,
+            due: None,
+        };
+        self.queries.insert(number, query);
+    }
+
+    /// A part of a query came. With the last one of a step, the step begins.
+    pub fn part_came(&mut self, id: u64, number: u64, shard: u32, weight: f64, hint: Option<Duration>) {
+        self.taken.push_back(self.now);
+        let Some(q) = self.queries.get_mut(&number) else { return };
+        let hint = hint.map(|h| h.as_secs_f64()).filter(|h| *h > 0.0);
+        let usual = &mut self.verticals[q.vertical].hint;
+        if let (Some(h), 0) = (hint, q.step) {
+            *usual += (h - *usual) * if *usual == 0.0 { 1.0 } else { USUAL_WEIGHT };
+        }
+        self.numbers.insert(id, number);
+        q.parts.push(Part {
+            id,
+            shard,
+            weight,
+            hint,
+            step: q.step,
+            wanted: false,
+            done: false,
+            spared: false,
+            calls: 0,
+            out: 0,
+            maybe_ran: false,
+            first_sent: self.now,
+            last_sent: self.now,
+            tried: Vec::new(),
+        });
+        if q.parts.len() == q.awaited {
+            if q.step == 0 { self.first_step(number) } else { self.second_step(number) }
+        }
+    }
+
+    /// A wake that was asked for.
+    pub fn woke(&mut self, token: u64) {
+        if token == LIST_TOKEN {
+            return self.list_due();
+        }
+        let Some(q) = self.queries.get_mut(&token) else { return };
+        let Some(due) = q.due else { return };
+        if self.now < due {
+            return;
+        }
+        q.due = None;
+        // Guards against trips on healthy servers when this gatherer itself stood still: their
+        // answers may be waiting behind this wake. Covers any pause of the process or machine. It
+        // does harm only where wakes are always late: then spares are late by as much.
+        if self.now - due > STARVED {
+            self.awake = self.now;
+        }
+        self.review(token);
+    }
+
+    /// A leaf call ended.
+    pub fn settled(&mut self, part: u64, call: u32, outcome: Outcome, server: &str, over: bool) {
+        let never_ran = matches!(outcome, Outcome::TurnedAway | Outcome::Unreachable | Outcome::NeverSent);
+        let sent = self.learn(part, call, outcome, server);
+        let Some(number) = self.numbers.get(&part).copied() else { return };
+        let Some(q) = self.queries.get_mut(&number) else { return };
+        let Some(p) = q.parts.iter_mut().find(|p| p.id == part) else { return };
+        if sent.is_none() || p.out == 0 {
+            return;
+        }
+        p.out -= 1;
+        p.maybe_ran |= !never_ran;
+        if outcome == Outcome::Completed {
+            p.done = true;
+        } else if over {
+            p.calls = self.most_calls;
+        } else if p.step == q.step && !p.done && p.out == 0 {
+            // The original is lost: one spare at once, breaker or not.
+            if !p.spared {
+                p.spared = true;
+                self.release_spare(number, part);
+            } else {
+                self.call_part(number, part);
+            }
+        }
+        self.review(number);
+    }
+
+    /// The client left, or its time is over: the query needs nothing more. One part may end alone.
+    pub fn abandoned(&mut self, id: u64) {
+        let Some(number) = self.numbers.get(&id).copied() else { return };
+        let q = self.queries.get_mut(&number).expect("held");
+        if q.id == id {
+            return self.drop_query(number);
+        }
+        q.parts.iter_mut().filter(|p| p.id == id).for_each(|p| (p.calls, p.out) = (self.most_calls, 0));
+        self.review(number);
+    }
+
+    fn list_due(&mut self) {
+        let Some(every) = self.ask_every else { return };
+        let quiet = self.now.saturating_sub(self.list_heard);
+        if quiet >= every {
+            self.host.watch_list();
+            self.list_heard = self.now;
+        }
+        self.host.wake(LIST_TOKEN, every.saturating_sub(quiet).max(every / 4));
+    }
+
+    /// Latency to expect of a part, in seconds, from a server that answers as usual.
+    fn expected(&self, q: &Query, p: &Part) -> f64 {
+        let v = &self.verticals[q.vertical];
+        let scale = p.hint.filter(|_| p.step == 0).map_or(1.0, |h| h / v.hint);
+        v.usual[p.step] * scale.clamp(0.3, 10.0)
+    }
+
+    /// A server's pace as it shows now: that of its answers, or of the silence of a call out.
+    fn pace(&self, s: &Server) -> f64 {
+        let silence = |c: &Call| (self.now - c.sent.max(self.awake).min(self.now)).as_secs_f64() / c.expected;
+        s.calls.iter().map(silence).fold(s.pace, f64::max)
+    }
+
+    fn median_pace(&self) -> f64 {
+        let ready = self.servers.values().filter(|s| s.health == Health::Ready);
+        let mut paces: Vec<f64> = ready.map(|s| self.pace(s)).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied().unwrap_or(1.0).max(1.0)
+    }
+
+    /// What a server does with a leaf call shows in its pace, the one figure for slowness,
+    /// silence, errors, refusals and failed connects.
+    fn learn(&mut self, part: u64, call: u32, outcome: Outcome, server: &str) -> Option<Duration> {
+        let now = self.now;
+        let median = self.median_pace();
+        let s = self.servers.get_mut(server)?;
+        let at = s.calls.iter().position(|c| c.part == part && c.number == call)?;
+        let c = s.calls.swap_remove(at);
+        let took = (now - c.sent).as_secs_f64();
+        let ratio = (took / c.expected).min(FAILED_PACE);
+        match outcome {
+            Outcome::Completed => {
+                let shunned = s.pace > SHUN * median;
+                s.pace += (ratio - s.pace) * if shunned { 1.0 } else { PACE_WEIGHT };
+                if s.pace <= SHUN * median {
+                    s.trial_wait = TRIAL_FIRST;
+                }
+                let gone_by = (now - s.rated).as_secs_f64() / RATE_SPAN.as_secs_f64();
+                s.rate = s.rate * (-gone_by).exp() + 1.0 / RATE_SPAN.as_secs_f64();
+                s.rated = now;
+                if let Some(number) = self.numbers.get(&part) {
+                    let q = &self.queries[number];
+                    if let Some(p) = q.parts.iter().find(|p| p.id == part) {
+                        let usual = &mut self.verticals[q.vertical].usual[p.step];
+                        let scale = c.expected / *usual;
+                        *usual += (took / scale.max(0.1) - *usual).min(*usual * 4.0) * USUAL_WEIGHT;
+                    }
+                }
+            }
+            Outcome::NeverSent => {}
+            Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
+            _ => s.pace += (FAILED_PACE - s.pace) * PACE_WEIGHT,
+        }
+        Some(c.sent)
+    }
+
+    /// How many more sends a server takes without being pushed over, by what warm ones answer.
+    /// Guards every server whose start is young, whatever the reason of its start. Does harm where
+    /// no warm server is busy: then a cold one gets one part in a fall time, and peers the rest.
+    fn cold_room(&self, s: &Server) -> bool {
+        let Some(started) = s.started else { return true };
+        let age = self.now.saturating_sub(started).as_secs_f64() / self.cold_time.as_secs_f64();
+        if age >= 1.0 {
+            return true;
+        }
+        let share = self.cold_from + (1.0 - self.cold_from) * age;
+        let rates = self
+            .servers
+            .values()
+            .map(|s| s.rate * (-(self.now - s.rated).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp());
+        let allowed = share * self.cold_allowance * rates.fold(0.0, f64::max);
+        let since = self.now.saturating_sub(self.fall_time);
+        let sent = s.cold_sends.iter().filter(|t| **t >= since).count();
+        ((sent + 1) as f64) <= allowed.max(1.0)
+    }
+
+    /// Calls out at a server. Parts that travel in one call count once, and those that would
+    /// join a part now count not at all.
+    fn load(&self, s: &Server) -> usize {
+        if self.parts_a_call == 1 {
+            return s.calls.len();
+        }
+        let mut times: Vec<Duration> = s.calls.iter().map(|c| c.sent).collect();
+        let joined = times.iter().filter(|t| **t == self.now).count();
+        times.dedup();
+        times.len() - usize::from(joined > 0 && joined < self.parts_a_call)
+    }
+
+    /// The replica for a part: its home, unless that is past its bound or shunned; then the one
+    /// with fewest calls out. A shunned server gets a part now and then that can bear the wait.
+    fn place(&self, q: &Query, p: &Part) -> Option<ServerId> {
+        let median = self.median_pace();
+        let holds = |s: &Server| (s.cell + self.cells - p.shard % self.cells) % self.cells < self.span;
+        let mut replicas: Vec<(&ServerId, &Server, bool)> = Vec::new();
+        for (id, s) in &self.servers {
+            if s.health == Health::Ready && holds(s) && self.cold_room(s) {
+                let well = self.pace(s) <= SHUN * median;
+                let side_effecting = self.verticals[q.vertical].effect == Effect::SideEffecting;
+                let trial = !side_effecting && s.calls.is_empty() && self.now >= s.trial;
+                replicas.push((id, s, well || (trial && p.calls == 0)));
+            }
+        }
+        let fresh = |id: &ServerId| !p.tried.contains(id);
+        let home = replicas.iter().max_by_key(|(id, _, _)| hash(q.key, id))?;
+        if home.2 && self.load(home.1) < HOME_BOUND && fresh(home.0) {
+            return Some(home.0.clone());
+        }
+        let rank = |(id, s, fit): &&(&ServerId, &Server, bool)| {
+            let pace = if *fit { 0 } else { (self.pace(s) * 100.0) as u64 };
+            (!fresh(id), pace, self.load(s), std::cmp::Reverse(hash(q.key, id)))
+        };
+        replicas.iter().min_by_key(rank).map(|r| r.0.clone())
+    }
+
+    /// Whether the rules allow a leaf call for this part now.
+    fn may_call(&self, q: &Query, p: &Part) -> bool {
+        let apart = match self.verticals[q.vertical].effect {
+            Effect::Repeatable => true,
+            Effect::Deduplicated(window) => {
+                p.calls == 0 || self.now + self.end_margin < p.first_sent + window
+            }
+            Effect::SideEffecting => p.out == 0 && !p.maybe_ran,
+        };
+        let room = p.calls == 0
+            || self.budget.is_none_or(|b| {
+                let since = self.now.saturating_sub(b.span);
+                let taken = self.taken.iter().filter(|t| **t > since).count() as f64;
+                let extras = self.extras.iter().filter(|t| **t >= since).count() as f64;
+                extras + 1.0 <= b.least + b.share * taken
+            });
+        !p.done && p.calls < self.most_calls && (p.out == 0 || self.second_copies) && apart && room
+    }
+
+    /// Sends a part, if the rules allow it and a server may take it.
+    fn call_part(&mut self, number: u64, part: u64) -> bool {
+        let q = &self.queries[&number];
+        let Some(at) = q.parts.iter().position(|p| p.id == part) else { return false };
+        if !self.may_call(q, &q.parts[at]) {
+            return false;
+        }
+        let Some(id) = self.place(q, &q.parts[at]) else { return false };
+        let expected = self.expected(q, &q.parts[at]);
+        let median = self.median_pace();
+        let limit = self.end_of(q).saturating_sub(self.now);
+        let (now, awake_pace) = (self.now, self.pace(&self.servers[&id]));
+        let q = self.queries.get_mut(&number).expect("held");
+        let p = &mut q.parts[at];
+        if p.calls > 0 {
+            self.extras.push_back(now);
+        }
+        if !p.maybe_ran && p.out == 0 {
+            p.first_sent = now;
+        }
+        let call = Call { part, number: p.calls, sent: now, expected };
+        (p.wanted, p.spared, p.last_sent) = (true, false, now);
+        p.calls += 1;
+        p.out += 1;
+        p.tried.push(id.clone());
+        let s = self.servers.get_mut(&id).expect("placed");
+        if awake_pace > SHUN * median {
+            s.trial = now + s.trial_wait;
+            s.trial_wait = (s.trial_wait * 2).min(TRIAL_LAST);
+        }
+        if s.started.is_some() {
+            forget(&mut s.cold_sends, now.saturating_sub(self.fall_time));
+            s.cold_sends.push_back(now);
+        }
+        s.calls.push(call);
+        self.sends.push_back(now);
+        forget(&mut self.sends, now.saturating_sub(CAP_SPAN));
+        self.host.call(part, &id, limit);
+        true
+    }
+
+    /// When nothing of utility can come of a query any more, a little before its time is up.
+    fn end_of(&self, q: &Query) -> Duration {
+        let v = &self.verticals[q.vertical];
+        let useful = if v.late_utility > 0.0 { q.until } else { q.until.min(q.came + v.slo) };
+        useful.saturating_sub(self.end_margin)
+    }
+
+    /// Within the tenant's share, counted over a short span.
+    fn within_share(&mut self, tenant: Option<usize>) -> bool {
+        let Some(t) = tenant.map(|t| &mut self.tenants[t]) else { return true };
+        let gained = (self.now - t.counted).as_secs_f64() * t.rate;
+        t.left = (t.left + gained).min(t.rate * SHARE_SPAN.as_secs_f64());
+        t.counted = self.now;
+        if t.left < 1.0 {
+            return false;
+        }
+        t.left -= 1.0;
+        true
+    }
+
+    /// Takes a query if it is predicted to be in time, and sends the n parts that it needs: the
+    /// fewest by weight, among equals those that should answer soonest. The rest are held.
+    fn first_step(&mut self, number: u64) {
+        let tenant = self.queries[&number].tenant;
+        let within = self.within_share(tenant);
+        let q = &self.queries[&number];
+        let v = &self.verticals[q.vertical];
+        let mut order: Vec<(f64, f64, u64)> = Vec::new();
+        for p in &q.parts {
+            let pace = self.place(q, p).map_or(f64::INFINITY, |id| self.pace(&self.servers[&id]));
+            order.push((p.weight, pace * self.expected(q, p), p.id));
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)));
+        let mut sum = 0.0;
+        order.retain(|(weight, _, _)| {
+            let short = sum < v.need - WEIGHT_SLACK;
+            sum += weight;
+            short
+        });
+        let slowest = order.iter().map(|o| o.1).fold(0.0, f64::max);
+        let second = if v.follow_up > 0 { v.usual[1] * self.median_pace() } else { 0.0 };
+        let predicted = slowest + second;
+        let crowded = self.numbers.len() > self.held_limit;
+        let share = if within {
+            1.0
+        } else if crowded {
+            0.0
+        } else {
+            BEYOND_SHARE
+        };
+        let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
+        if predicted * v.stretch > time.as_secs_f64() {
+            return self.give_up(number);
+        }
+        self.queries.get_mut(&number).expect("held").predicted = predicted;
+        for (_, _, id) in order {
+            self.want(number, id);
+        }
+        self.review(number);
+    }
+
+    fn second_step(&mut self, number: u64) {
+        let ids: Vec<u64> = self.queries[&number].parts.iter().map(|p| p.id).collect();
+        ids.into_iter().for_each(|id| self.want(number, id));
+        self.review(number);
+    }
+
+    /// Marks a part as one of those to be sent, and sends it if that can be done now.
+    fn want(&mut self, number: u64, part: u64) {
+        let q = self.queries.get_mut(&number).expect("held");
+        q.parts.iter_mut().filter(|p| p.id == part).for_each(|p| p.wanted = true);
+        self.call_part(number, part);
+    }
+
+    /// One spare for one overdue or failed part: a held one, or where none is left another leaf
+    /// call of the part itself at another replica.
+    fn release_spare(&mut self, number: u64, part: u64) -> bool {
+        let q = &self.queries[&number];
+        let spare = q.parts.iter().filter(|p| !p.wanted && q.step == p.step).map(|p| p.id).next();
+        if let Some(spare) = spare {
+            self.want(number, spare);
+            return true;
+        }
+        self.call_part(number, part)
+    }
+
+    /// An overdue part: its server is impaired, and one spare goes out if breaker and cap allow.
+    fn overdue(&mut self, number: u64, part: u64) {
+        let since = self.now.saturating_sub(IMPAIRED_WINDOW);
+        let at = |s: &Server| s.calls.iter().any(|c| c.part == part);
+        for s in self.servers.values_mut().filter(|s| at(s)) {
+            s.impaired = Some(self.now);
+        }
+        let impaired = self.servers.values().filter(|s| s.impaired > Some(since)).count();
+        if impaired > IMPAIRED_MOST && self.now >= self.halted_until {
+            self.halted_until = self.now + COOLDOWN;
+        }
+        forget(&mut self.spares, self.now.saturating_sub(CAP_SPAN));
+        let cap = (self.sends.len() as f64 * CAP_SHARE).max(1.0);
+        if self.now < self.halted_until || (self.spares.len() + 1) as f64 > cap {
+            return;
+        }
+        let q = &self.queries[&number];
+        let p = q.parts.iter().find(|p| p.id == part).expect("held");
+        let held = q.parts.iter().any(|p| !p.wanted && q.step == p.step);
+        let (id, calls, alone) = (p.id, p.calls, p.out == 1 && !self.second_copies);
+        let again = p.calls < self.most_calls
+            && self.verticals[q.vertical].effect != Effect::SideEffecting
+            && self.place(q, p).is_some_and(|s| !p.tried.contains(&s));
+        let released = if held || !alone {
+            self.release_spare(number, part)
+        } else if again && self.call_off {
+            // No second copy is allowed: the outcome of this one, whatever it is, sends the next.
+            self.host.call_off(id, calls - 1);
+            true
+        } else {
+            false
+        };
+        if released {
+            self.spares.push_back(self.now);
+            let q = self.queries.get_mut(&number).expect("held");
+            let spared = q.parts.iter_mut().filter(|p| p.id == part);
+            spared.for_each(|p| p.spared = true);
+        }
+    }
+
+    /// Looks at a query afresh: answer it, give it up, release spares, or see to it later.
+    fn review(&mut self, number: u64) {
+        let Some(q) = self.queries.get(&number) else { return };
+        if q.parts.len() < q.awaited {
+            return;
+        }
+        let v = &self.verticals[q.vertical];
+        let (step, threshold, end) = (q.step, v.threshold, self.end_of(q));
+        let need = if step == 0 { v.need } else { 1.0 };
+        let weight =
+            |f: &dyn Fn(&Part) -> bool| -> f64 { q.parts.iter().filter(|p| f(p)).map(|p| p.weight).sum() };
+        let got = weight(&|p| p.done);
+        let full = got >= need - WEIGHT_SLACK && (step == 0 || q.parts.iter().all(|p| p.done));
+        if full {
+            return self.answer(number, true);
+        }
+        let floor = if v.floor < v.need { v.floor } else { need };
+        let can = |p: &Part| {
+            p.done || p.out > 0 || p.calls == 0 || (p.calls < self.most_calls && self.may_call(q, p))
+        };
+        let reach = weight(&can);
+        if self.now >= end || reach < need - WEIGHT_SLACK {
+            let short = floor < need && got > 0.0 && got >= floor - WEIGHT_SLACK;
+            if short {
+                return self.answer(number, false);
+            }
+            if self.now >= end || reach < floor - WEIGHT_SLACK {
+                return self.give_up(number);
+            }
+        }
+        let mut next = end;
+        let (mut unsent, mut late) = (Vec::new(), Vec::new());
+        for p in q.parts.iter().filter(|p| p.wanted && !p.done) {
+            let due = p.last_sent.max(self.awake) + threshold;
+            if p.out == 0 {
+                unsent.push(p.id);
+                next = next.min(self.now + NO_SERVER_WAIT);
+            } else if self.now >= due && !p.spared {
+                late.push(p.id);
+                next = next.min(self.now + NO_SERVER_WAIT);
+            } else if !p.spared {
+                next = next.min(due);
+            }
+        }
+        for id in unsent {
+            self.call_part(number, id);
+        }
+        for id in late {
+            self.overdue(number, id);
+        }
+        let q = self.queries.get_mut(&number).expect("held");
+        if q.due.is_none_or(|due| next < due || due <= self.now) {
+            q.due = Some(next);
+            self.host.wake(number, next - self.now);
+        }
+    }
+
+    /// Answers a query. A vertical with a second step goes on with it after the first answer.
+    fn answer(&mut self, number: u64, enough: bool) {
+        let q = self.queries.get_mut(&number).expect("held");
+        let v = &mut self.verticals[q.vertical];
+        let more = if q.step == 0 { v.follow_up as usize } else { 0 };
+        let done = q.parts.iter().filter(|p| p.done).count();
+        if q.predicted > 0.0 && more == 0 {
+            let took = (self.now - q.came).as_secs_f64() / q.predicted;
+            v.stretch += (took.clamp(0.5, 4.0) - v.stretch) * STRETCH_WEIGHT;
+        }
+        q.whole &= enough;
+        let (id, whole) = (q.id, q.whole);
+        if more == 0 {
+            self.host.answer(id, whole);
+            return self.drop_query(number);
+        }
+        self.host.answer(id, whole);
+        self.clear_parts(number);
+        let q = self.queries.get_mut(&number).expect("held");
+        (q.step, q.awaited) = (1, more.min(done));
+    }
+
+    /// Ends a query without an answer: sent back where that is honest, else given up.
+    fn give_up(&mut self, number: u64) {
+        let q = &self.queries[&number];
+        let v = &self.verticals[q.vertical];
+        let ran = q.step > 0 || q.parts.iter().any(|p| p.maybe_ran || p.out > 0);
+        if v.effect == Effect::Repeatable || !ran {
+            let wait = Duration::from_secs_f64(v.usual[0] * self.median_pace());
+            self.host.reject(q.id, self.back_after.map(|most| wait.min(most)));
+        } else {
+            self.host.abort(q.id);
+        }
+        self.drop_query(number);
+    }
+
+    fn drop_query(&mut self, number: u64) {
+        self.clear_parts(number);
+        if let Some(q) = self.queries.remove(&number) {
+            self.numbers.remove(&q.id);
+        }
+    }
+
+    /// Lets go of a query's parts; what is still out is called off where that is allowed.
+    fn clear_parts(&mut self, number: u64) {
+        let Some(q) = self.queries.get_mut(&number) else { return };
+        for p in q.parts.drain(..) {
+            self.numbers.remove(&p.id);
+            if p.out == 0 || !self.call_off {
+                continue;
+            }
+            for s in self.servers.values() {
+                for c in s.calls.iter().filter(|c| c.part == p.id) {
+                    self.host.call_off(p.id, c.number);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,130 @@
+//! The interface between the decisions in [`decide`] and whatever hosts them: the actions that a
+//! gatherer can take ([`Host`]), the settings that it starts from, and how a leaf call can end.
+
+use std::time::Duration;
+
+pub mod decide;
+
+pub use decide::Gatherer;
+
+/// What a gatherer can do. Handed over at start; every action takes effect when it is called.
+pub trait Host {
+    /// Sends a part to a shard server. `limit` is the leaf call's time-out.
+    fn call(&mut self, part: u64, server: &str, limit: Duration);
+    /// Stops waiting for one leaf call of a part; `call` counts the part's leaf calls from 0.
+    fn call_off(&mut self, part: u64, call: u32);
+    /// Answers a query from the parts that are in.
+    fn answer(&mut self, query: u64, whole: bool);
+    /// Sends a query back: to ask again is harmless, and best done after `back_after`, if given.
+    fn reject(&mut self, query: u64, back_after: Option<Duration>);
+    /// Gives a query up with no promise about its effect.
+    fn abort(&mut self, query: u64);
+    /// Asks for [`Gatherer::woke`] with this token after a while.
+    fn wake(&mut self, token: u64, after: Duration);
+    /// Asks for the list of shard servers and all later changes of it.
+    fn watch_list(&mut self);
+}
+
+/// How a leaf call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer is in.
+    Completed,
+    /// The server answered with an error; the part may have run.
+    Errored,
+    /// The server turned the part away unseen: it never ran.
+    TurnedAway,
+    /// No answer in time; the part may have run, or may run yet.
+    TimedOut,
+    /// No connection could be made: it never ran.
+    Unreachable,
+    /// The connection broke; the part may have run.
+    Broken,
+    /// The gatherer called it off; the part may have run, or may run yet.
+    CalledOff,
+    /// It was never sent.
+    NeverSent,
+}
+
+/// What running a part of a vertical again would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run any number of times.
+    Repeatable,
+    /// A repeat is dropped if it is sent within this long of the first leaf call that may have run.
+    Deduplicated(Duration),
+    /// Must never run twice.
+    SideEffecting,
+}
+
+/// Whether a shard server is offered work, as the list of servers has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One kind of query.
+#[derive(Clone, Debug)]
+pub struct VerticalSettings {
+    /// Weight of the parts that make a whole answer.
+    pub need: f64,
+    /// Weight of the parts below which no answer may be given.
+    pub floor: f64,
+    /// How many parts the second step has; 0 for none.
+    pub follow_up: u32,
+    /// An answer within this time has its full utility.
+    pub slo: Duration,
+    /// Utility of an answer after the SLO time, as a share of the full.
+    pub late_utility: f64,
+    pub effect: Effect,
+}
+
+/// The limit on leaf calls beyond each part's first.
+#[derive(Clone, Copy, Debug)]
+pub struct BudgetSettings {
+    pub span: Duration,
+    pub least: f64,
+    pub share: f64,
+}
+
+/// All that a gatherer is told at start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub seed: u64,
+    /// How many gatherers there are, this one among them.
+    pub gatherers: u32,
+    /// The shortest time between two rounds of events.
+    pub tick: Duration,
+    pub verticals: Vec<VerticalSettings>,
+    /// Queries a second within each tenant's share, over all gatherers.
+    pub tenant_rates: Vec<f64>,
+    /// How many cells the shards are spread over.
+    pub cells: u32,
+    /// How many cells in a row hold a shard.
+    pub span: u32,
+    /// How many parts one call can carry.
+    pub parts_a_call: u32,
+    /// The most leaf calls for one part.
+    pub most_calls: u32,
+    /// The most queries and parts held at once.
+    pub most_held: usize,
+    /// Whether a part may have two leaf calls out at once.
+    pub second_copies: bool,
+    /// Whether leaf calls can be called off.
+    pub call_off: bool,
+    /// The longest time to come back that clients follow, where they are given one.
+    pub back_after: Option<Duration>,
+    /// Where the list of servers comes only when asked for: how long it may go unasked.
+    pub ask_within: Option<Duration>,
+    pub budget: Option<BudgetSettings>,
+    /// A server starts with this share of its capacity ...
+    pub cold_from: f64,
+    /// ... is warm after this long ...
+    pub cold_time: Duration,
+    /// ... and falls over when it gets this many times what it can do ...
+    pub overload_factor: f64,
+    /// ... for this long.
+    pub fall_time: Duration,
+}
