--- a/src/decide.rs
+++ b/src/decide.rs
@@ -650,9 +650,11 @@
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
         let mut order: Vec<(f64, f64, u64)> = Vec::new();
+        let median = self.median_pace();
         for p in &q.parts {
+            let late = v.threshold.as_secs_f64() + median * self.expected(q, p);
             let pace = self.place(q, p).map_or(f64::INFINITY, |id| self.pace(&self.servers[&id]));
-            order.push((p.weight, pace * self.expected(q, p), p.id));
+            order.push((p.weight, (pace * self.expected(q, p)).min(late), p.id));
         }
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)));
         let mut sum = 0.0;
@@ -661,9 +663,9 @@
             sum += weight;
             short
         });
-        let slowest = order.iter().map(|o| o.1).fold(0.0, f64::max);
-        let second = if v.follow_up > 0 { v.usual[1] * self.median_pace() } else { 0.0 };
-        let predicted = slowest + second;
+        let mean = order.iter().map(|o| o.1).sum::<f64>() / order.len().max(1) as f64;
+        let second = if v.follow_up > 0 { v.usual[1] * median } else { 0.0 };
+        let predicted = mean + second;
         let crowded = self.numbers.len() > self.held_limit;
         let share = if within {
             1.0
