Home bound 2; tenant shares counted over 5 s, traffic beyond them has 70% of the SLO time

Cause: a bound of four lets queues form on one server of two cores' size; shares of short bursts rejected calm traffic.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,7 +24,7 @@
 /// The cap's second.
 const CAP_SPAN: Duration = Duration::from_secs(1);
 /// Calls out at which a part leaves its home. The design's start value.
-const HOME_BOUND: usize = 4;
+const HOME_BOUND: usize = 2;
 /// Times the fleet's median pace at which a server is shunned. Below 2 the spread among healthy
 /// servers' answers would do it; far above, a server at a third of its speed would keep its parts.
 const SHUN: f64 = 2.0;
@@ -44,9 +44,9 @@
 /// Weight of the latest query in that figure.
 const STRETCH_WEIGHT: f64 = 0.05;
 /// Share of the SLO time in which queries beyond a tenant's share must be predicted to be done.
-const BEYOND_SHARE: f64 = 0.4;
+const BEYOND_SHARE: f64 = 0.7;
 /// A tenant's share is counted over this long.
-const SHARE_SPAN: Duration = Duration::from_secs(2);
+const SHARE_SPAN: Duration = Duration::from_secs(5);
 /// Time over which a server's answers a second are averaged.
 const RATE_SPAN: Duration = Duration::from_secs(5);
 /// Share of the cold servers' limit that is used: our view of what a warm one takes is rough.
