--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,12 +13,18 @@
 
 /// Share of the SLO time after which a part is overdue. The design's start value.
 const THRESHOLD: f64 = 0.5;
-/// Servers that may look impaired at once; one more trips the breaker. The source's value.
+/// A part is overdue sooner at so many times its expected latency at the fleet's median pace: where
+/// a held part is its spare, which costs little, and where only another leaf call of it is.
+const LATE_WITH_SPARE: f64 = 2.2;
+const LATE_WITHOUT: f64 = 4.0;
+/// Servers that may look impaired at once; one more trips the breaker. The source's value, or
+/// this share of the servers if that is more: so many are no few sick ones any longer.
 const IMPAIRED_MOST: usize = 2;
-/// How long a server counts as impaired. The design's start value.
-const IMPAIRED_WINDOW: Duration = Duration::from_secs(10);
-/// How long the tripped breaker halts spares. The design's start value.
-const COOLDOWN: Duration = Duration::from_secs(5);
+const IMPAIRED_SHARE: f64 = 0.34;
+/// How long a server counts as impaired. Short, as our threshold is crossed by ordinary parts too.
+const IMPAIRED_WINDOW: Duration = Duration::from_secs(1);
+/// How long the tripped breaker halts spares: a few queries' time, then it judges afresh.
+const COOLDOWN: Duration = Duration::from_secs(1);
 /// Spares a second for each part sent in that second, at least one. The design's start value.
 const CAP_SHARE: f64 = 0.1;
 /// The cap's second.
@@ -718,7 +724,8 @@
             s.impaired = Some(self.now);
         }
         let impaired = self.servers.values().filter(|s| s.impaired > Some(since)).count();
-        if impaired > IMPAIRED_MOST && self.now >= self.halted_until {
+        let most = (self.servers.len() as f64 * IMPAIRED_SHARE).max(IMPAIRED_MOST as f64);
+        if impaired as f64 > most && self.now >= self.halted_until {
             self.halted_until = self.now + COOLDOWN;
         }
         forget(&mut self.spares, self.now.saturating_sub(CAP_SPAN));
@@ -781,9 +788,13 @@
             }
         }
         let mut next = end;
+        let median = self.median_pace();
+        let held = q.parts.iter().any(|p| !p.wanted);
         let (mut unsent, mut late) = (Vec::new(), Vec::new());
         for p in q.parts.iter().filter(|p| p.wanted && !p.done) {
-            let due = p.last_sent.max(self.awake) + threshold;
+            let times = if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
+            let usual = Duration::from_secs_f64(median * times * self.expected(q, p));
+            let due = p.last_sent.max(self.awake) + threshold.min(usual);
             if p.out == 0 {
                 unsent.push(p.id);
                 next = next.min(self.now + NO_SERVER_WAIT);
