--- a/src/decide.rs
+++ b/src/decide.rs
@@ -82,8 +82,8 @@
     threshold: Duration,
     /// Usual latency of a part, in seconds, in the first and the second step.
     usual: [f64; 2],
-    /// Mean cost hint of a part, in seconds.
-    hint: f64,
+    /// Mean logarithm of the cost hints, its variance, and its covariance with the latency's.
+    hint: [f64; 3],
     stretch: f64,
 }
 
@@ -124,7 +124,8 @@
     id: u64,
     shard: u32,
     weight: f64,
-    hint: Option<f64>,
+    /// Logarithm of its cost hint, from the mean; 0 without a hint.
+    hint: f64,
     step: usize,
     /// To be sent, or sent: all other parts are held.
     wanted: bool,
@@ -207,6 +208,15 @@
     }
 }
 
+impl Vertical {
+    /// What a cost hint says of a part's latency, by how well hints have told it so far. Keeps a
+    /// costly part from making its server look sick, and a poor hint from saying anything.
+    fn hint_scale(&self, hint: f64) -> f64 {
+        let [_, variance, covariance] = self.hint;
+        (hint * (covariance / variance.max(0.01)).clamp(0.0, 1.0)).exp()
+    }
+}
+
 impl<H: Host> Gatherer<H> {
     pub fn new(host: H, settings: &Settings, now: Duration) -> Self {
         let verticals = settings.verticals.iter().map(|v| Vertical {
@@ -218,7 +228,7 @@
             effect: v.effect,
             threshold: v.slo.mul_f64(THRESHOLD),
             usual: [v.slo.as_secs_f64() * USUAL_AT_FIRST; 2],
-            hint: 0.0,
+            hint: [f64::NAN, 1.0, 0.0],
             stretch: STRETCH_AT_FIRST,
         });
         let gatherers = f64::from(settings.gatherers.max(1));
@@ -358,11 +368,13 @@
     pub fn part_came(&mut self, id: u64, number: u64, shard: u32, weight: f64, hint: Option<Duration>) {
         self.taken.push_back(self.now);
         let Some(q) = self.queries.get_mut(&number) else { return };
-        let hint = hint.map(|h| h.as_secs_f64()).filter(|h| *h > 0.0);
-        let usual = &mut self.verticals[q.vertical].hint;
-        if let (Some(h), 0) = (hint, q.step) {
-            *usual += (h - *usual) * if *usual == 0.0 { 1.0 } else { USUAL_WEIGHT };
-        }
+        let [mean, variance, _] = &mut self.verticals[q.vertical].hint;
+        let hint = hint.filter(|h| !h.is_zero() && q.step == 0).map_or(0.0, |h| {
+            let h = h.as_secs_f64().ln();
+            *mean = if mean.is_nan() { h } else { *mean + (h - *mean) * USUAL_WEIGHT };
+            *variance += ((h - *mean).powi(2) - *variance) * USUAL_WEIGHT;
+            h - *mean
+        });
         self.numbers.insert(id, number);
         q.parts.push(Part {
             id,
@@ -457,8 +469,7 @@
     /// Latency to expect of a part, in seconds, from a server that answers as usual.
     fn expected(&self, q: &Query, p: &Part) -> f64 {
         let v = &self.verticals[q.vertical];
-        let scale = p.hint.filter(|_| p.step == 0).map_or(1.0, |h| h / v.hint);
-        v.usual[p.step] * scale.clamp(0.3, 10.0)
+        v.usual[p.step] * v.hint_scale(p.hint)
     }
 
     /// A server's pace as it shows now: that of its answers, or of the silence of a call out.
@@ -497,9 +508,11 @@
                 if let Some(number) = self.numbers.get(&part) {
                     let q = &self.queries[number];
                     if let Some(p) = q.parts.iter().find(|p| p.id == part) {
-                        let usual = &mut self.verticals[q.vertical].usual[p.step];
-                        let scale = c.expected / *usual;
-                        *usual += (took / scale.max(0.1) - *usual).min(*usual * 4.0) * USUAL_WEIGHT;
+                        let v = &mut self.verticals[q.vertical];
+                        let plain = took / v.hint_scale(p.hint);
+                        let usual = &mut v.usual[p.step];
+                        v.hint[2] += (p.hint * (took / *usual).max(0.01).ln() - v.hint[2]) * USUAL_WEIGHT;
+                        *usual += (plain - *usual).min(*usual * 4.0) * USUAL_WEIGHT;
                     }
                 }
             }
