One rule fills a query: parts in or on their way must reach its need; failed parts go back to the held

Spares are now the held part that should answer soonest, and a failed part is only called again when no held one is left.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -59,8 +59,8 @@
 const COLD_SAFETY: f64 = 0.7;
 /// A wake this much later than asked shows that this gatherer was starved.
 const STARVED: Duration = Duration::from_millis(100);
-/// Wait for a server that may take a part, where none may now.
-const NO_SERVER_WAIT: Duration = Duration::from_millis(50);
+/// Least wait before a query with an overdue or unplaced part is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// First wait before the list is asked for again; it doubles, up to half the stated time.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Share of the stated time after which a quiet list is asked for again.
@@ -102,6 +102,7 @@
 }
 
 /// All that is known of a shard server.
+#[derive(Default)]
 struct Server {
     health: Health,
     cell: u32,
@@ -120,6 +121,7 @@
     cold_sends: VecDeque<Duration>,
 }
 
+#[derive(Default)]
 struct Part {
     id: u64,
     shard: u32,
@@ -127,10 +129,8 @@
     /// Logarithm of its cost hint, from the mean; 0 without a hint.
     hint: f64,
     step: usize,
-    /// To be sent, or sent: all other parts are held.
-    wanted: bool,
     done: bool,
-    /// Its overdue call has had its spare.
+    /// Its call is overdue and has its spare.
     spared: bool,
     calls: u32,
     out: u32,
@@ -295,20 +295,8 @@
     pub fn server_listed(&mut self, id: &str, health: Health, cell: u32, started: Option<Duration>) {
         let cold_until = started.map(|t| t + self.cold_time);
         let started = started.filter(|_| cold_until > Some(self.now));
-        let now = self.now;
-        let server = self.servers.entry(id.into()).or_insert_with(|| Server {
-            health,
-            cell,
-            started,
-            calls: Vec::new(),
-            pace: 1.0,
-            trial: now,
-            trial_wait: TRIAL_FIRST,
-            impaired: None,
-            rate: 0.0,
-            rated: now,
-            cold_sends: VecDeque::new(),
-        });
+        let fresh = || Server { pace: 1.0, trial_wait: TRIAL_FIRST, ..Server::default() };
+        let server = self.servers.entry(id.into()).or_insert_with(fresh);
         if started.is_some() && server.started != started {
             server.pace = 1.0;
             server.trial_wait = TRIAL_FIRST;
@@ -359,8 +347,10 @@
             awaited: parts,
             whole: true,
             predicted: 0.0,
-            due: None,
+            due: Some(until.saturating_sub(self.end_margin)),
         };
+        // Should its parts never come, it still ends in time.
+        self.host.wake(number, until.saturating_sub(self.end_margin).saturating_sub(self.now));
         self.queries.insert(number, query);
     }
 
@@ -376,24 +366,9 @@
             h - *mean
         });
         self.numbers.insert(id, number);
-        q.parts.push(Part {
-            id,
-            shard,
-            weight,
-            hint,
-            step: q.step,
-            wanted: false,
-            done: false,
-            spared: false,
-            calls: 0,
-            out: 0,
-            maybe_ran: false,
-            first_sent: self.now,
-            last_sent: self.now,
-            tried: Vec::new(),
-        });
+        q.parts.push(Part { id, shard, weight, hint, step: q.step, ..Part::default() });
         if q.parts.len() == q.awaited {
-            if q.step == 0 { self.first_step(number) } else { self.second_step(number) }
+            if q.step == 0 { self.admit(number) } else { self.review(number) }
         }
     }
 
@@ -419,28 +394,17 @@
 
     /// A leaf call ended.
     pub fn settled(&mut self, part: u64, call: u32, outcome: Outcome, server: &str, over: bool) {
-        let never_ran = matches!(outcome, Outcome::TurnedAway | Outcome::Unreachable | Outcome::NeverSent);
-        let sent = self.learn(part, call, outcome, server);
-        let Some(number) = self.numbers.get(&part).copied() else { return };
-        let Some(q) = self.queries.get_mut(&number) else { return };
-        let Some(p) = q.parts.iter_mut().find(|p| p.id == part) else { return };
-        if sent.is_none() || p.out == 0 {
-            return;
-        }
+        let known = self.learn(part, call, outcome, server);
+        let Some(number) = self.numbers.get(&part).copied().filter(|_| known) else { return };
+        let q = self.queries.get_mut(&number).expect("held");
+        let Some(p) = q.parts.iter_mut().find(|p| p.id == part && p.out > 0) else { return };
         p.out -= 1;
-        p.maybe_ran |= !never_ran;
+        p.maybe_ran |= !matches!(outcome, Outcome::TurnedAway | Outcome::Unreachable | Outcome::NeverSent);
         if outcome == Outcome::Completed {
             p.done = true;
+            self.call_off_part(part);
         } else if over {
             p.calls = self.most_calls;
-        } else if p.step == q.step && !p.done && p.out == 0 {
-            // The original is lost: one spare at once, breaker or not.
-            if !p.spared {
-                p.spared = true;
-                self.release_spare(number, part);
-            } else {
-                self.call_part(number, part);
-            }
         }
         self.review(number);
     }
@@ -487,11 +451,12 @@
 
     /// What a server does with a leaf call shows in its pace, the one figure for slowness,
     /// silence, errors, refusals and failed connects.
-    fn learn(&mut self, part: u64, call: u32, outcome: Outcome, server: &str) -> Option<Duration> {
+    fn learn(&mut self, part: u64, call: u32, outcome: Outcome, server: &str) -> bool {
         let now = self.now;
         let median = self.median_pace();
-        let s = self.servers.get_mut(server)?;
-        let at = s.calls.iter().position(|c| c.part == part && c.number == call)?;
+        let Some(s) = self.servers.get_mut(server) else { return false };
+        let at = s.calls.iter().position(|c| c.part == part && c.number == call);
+        let Some(at) = at else { return false };
         let c = s.calls.swap_remove(at);
         let took = (now - c.sent).as_secs_f64();
         let ratio = (took / c.expected).min(FAILED_PACE);
@@ -520,7 +485,7 @@
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
             _ => s.pace += (FAILED_PACE - s.pace) * PACE_WEIGHT,
         }
-        Some(c.sent)
+        true
     }
 
     /// How many more sends a server takes without being pushed over, by what warm ones answer.
@@ -600,20 +565,15 @@
         !p.done && p.calls < self.most_calls && (p.out == 0 || self.second_copies) && apart && room
     }
 
-    /// Sends a part, if the rules allow it and a server may take it.
-    fn call_part(&mut self, number: u64, part: u64) -> bool {
+    /// Sends a part to the server that it was placed at.
+    fn call_part(&mut self, number: u64, part: u64, id: &ServerId) {
+        let now = self.now;
         let q = &self.queries[&number];
-        let Some(at) = q.parts.iter().position(|p| p.id == part) else { return false };
-        if !self.may_call(q, &q.parts[at]) {
-            return false;
-        }
-        let Some(id) = self.place(q, &q.parts[at]) else { return false };
+        let limit = self.end_of(q).saturating_sub(now);
+        let at = q.parts.iter().position(|p| p.id == part).expect("held");
         let expected = self.expected(q, &q.parts[at]);
-        let median = self.median_pace();
-        let limit = self.end_of(q).saturating_sub(self.now);
-        let (now, awake_pace) = (self.now, self.pace(&self.servers[&id]));
-        let q = self.queries.get_mut(&number).expect("held");
-        let p = &mut q.parts[at];
+        let shunned = self.pace(&self.servers[id]) > SHUN * self.median_pace();
+        let p = &mut self.queries.get_mut(&number).expect("held").parts[at];
         if p.calls > 0 {
             self.extras.push_back(now);
         }
@@ -621,12 +581,12 @@
             p.first_sent = now;
         }
         let call = Call { part, number: p.calls, sent: now, expected };
-        (p.wanted, p.spared, p.last_sent) = (true, false, now);
+        (p.spared, p.last_sent) = (false, now);
         p.calls += 1;
         p.out += 1;
         p.tried.push(id.clone());
-        let s = self.servers.get_mut(&id).expect("placed");
-        if awake_pace > SHUN * median {
+        let s = self.servers.get_mut(id).expect("placed");
+        if shunned {
             s.trial = now + s.trial_wait;
             s.trial_wait = (s.trial_wait * 2).min(TRIAL_LAST);
         }
@@ -635,10 +595,9 @@
             s.cold_sends.push_back(now);
         }
         s.calls.push(call);
-        self.sends.push_back(now);
         forget(&mut self.sends, now.saturating_sub(CAP_SPAN));
-        self.host.call(part, &id, limit);
-        true
+        self.sends.push_back(now);
+        self.host.call(part, id, limit);
     }
 
     /// When nothing of utility can come of a query any more, a little before its time is up.
@@ -661,30 +620,38 @@
         true
     }
 
-    /// Takes a query if it is predicted to be in time, and sends the n parts that it needs: the
-    /// fewest by weight, among equals those that should answer soonest. The rest are held.
-    fn first_step(&mut self, number: u64) {
+    /// Parts that may be sent next, with their servers: the heaviest first, then those with no leaf
+    /// call so far, then those that should answer soonest. Overdue ones only beside a running call.
+    fn waiting(&self, q: &Query) -> Vec<(f64, f64, u64, ServerId)> {
+        let v = &self.verticals[q.vertical];
+        let median = self.median_pace();
+        let free = |p: &&Part| (p.out == 0 || p.spared) && self.may_call(q, p);
+        let mut waiting = Vec::new();
+        for p in q.parts.iter().filter(free) {
+            let Some(id) = self.place(q, p) else { continue };
+            let expected = self.expected(q, p);
+            let late = v.threshold.as_secs_f64() + median * expected;
+            let time = (self.pace(&self.servers[&id]) * expected).min(late);
+            waiting.push((p.weight, p.calls, time, p.id, id));
+        }
+        waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2)));
+        waiting.into_iter().map(|w| (w.0, w.2, w.3, w.4)).collect()
+    }
+
+    /// Takes a query if it is predicted to be in time; beyond its tenant's share, well in time.
+    fn admit(&mut self, number: u64) {
         let tenant = self.queries[&number].tenant;
         let within = self.within_share(tenant);
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
-        let mut order: Vec<(f64, f64, u64)> = Vec::new();
-        let median = self.median_pace();
-        for p in &q.parts {
-            let late = v.threshold.as_secs_f64() + median * self.expected(q, p);
-            let pace = self.place(q, p).map_or(f64::INFINITY, |id| self.pace(&self.servers[&id]));
-            order.push((p.weight, (pace * self.expected(q, p)).min(late), p.id));
-        }
-        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)));
-        let mut sum = 0.0;
-        order.retain(|(weight, _, _)| {
-            let short = sum < v.need - WEIGHT_SLACK;
-            sum += weight;
-            short
-        });
-        let mean = order.iter().map(|o| o.1).sum::<f64>() / order.len().max(1) as f64;
-        let second = if v.follow_up > 0 { v.usual[1] * median } else { 0.0 };
-        let predicted = mean + second;
+        let (mut weight, mut times, mut count) = (0.0, 0.0, 0);
+        for (w, time, _, _) in self.waiting(q) {
+            if weight < v.need - WEIGHT_SLACK {
+                (weight, times, count) = (weight + w, times + time, count + 1);
+            }
+        }
+        let second = if v.follow_up > 0 { v.usual[1] * self.median_pace() } else { 0.0 };
+        let predicted = times / f64::from(count.max(1)) + second;
         let crowded = self.numbers.len() > self.held_limit;
         let share = if within {
             1.0
@@ -694,46 +661,32 @@
             BEYOND_SHARE
         };
         let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
-        if predicted * v.stretch > time.as_secs_f64() {
+        if weight < v.floor - WEIGHT_SLACK || predicted * v.stretch > time.as_secs_f64() {
             return self.give_up(number);
         }
         self.queries.get_mut(&number).expect("held").predicted = predicted;
-        for (_, _, id) in order {
-            self.want(number, id);
-        }
-        self.review(number);
-    }
-
-    fn second_step(&mut self, number: u64) {
-        let ids: Vec<u64> = self.queries[&number].parts.iter().map(|p| p.id).collect();
-        ids.into_iter().for_each(|id| self.want(number, id));
         self.review(number);
     }
 
-    /// Marks a part as one of those to be sent, and sends it if that can be done now.
-    fn want(&mut self, number: u64, part: u64) {
-        let q = self.queries.get_mut(&number).expect("held");
-        q.parts.iter_mut().filter(|p| p.id == part).for_each(|p| p.wanted = true);
-        self.call_part(number, part);
-    }
-
-    /// One spare for one overdue or failed part: a held one, or where none is left another leaf
-    /// call of the part itself at another replica.
-    fn release_spare(&mut self, number: u64, part: u64) -> bool {
-        let q = &self.queries[&number];
-        let spare = q.parts.iter().filter(|p| !p.wanted && q.step == p.step).map(|p| p.id).next();
-        if let Some(spare) = spare {
-            self.want(number, spare);
-            return true;
+    /// Sends held parts until the n that are needed are in or on their way: the n at first, later
+    /// one spare for each overdue or failed part, or where none is held another leaf call of it.
+    fn fill(&mut self, number: u64) -> bool {
+        loop {
+            let q = &self.queries[&number];
+            let need = if q.step == 0 { self.verticals[q.vertical].need } else { 1.0 };
+            let coming = q.parts.iter().filter(|p| p.done || (p.out > 0 && !p.spared));
+            if coming.map(|p| p.weight).sum::<f64>() >= need - WEIGHT_SLACK {
+                return true;
+            }
+            let Some((_, _, part, id)) = self.waiting(q).into_iter().next() else { return false };
+            self.call_part(number, part, &id);
         }
-        self.call_part(number, part)
     }
 
-    /// An overdue part: its server is impaired, and one spare goes out if breaker and cap allow.
+    /// An overdue part: its server is impaired, and a spare may go out if breaker and cap allow.
     fn overdue(&mut self, number: u64, part: u64) {
         let since = self.now.saturating_sub(IMPAIRED_WINDOW);
-        let at = |s: &Server| s.calls.iter().any(|c| c.part == part);
-        for s in self.servers.values_mut().filter(|s| at(s)) {
+        for s in self.servers.values_mut().filter(|s| s.calls.iter().any(|c| c.part == part)) {
             s.impaired = Some(self.now);
         }
         let impaired = self.servers.values().filter(|s| s.impaired > Some(since)).count();
@@ -748,82 +701,68 @@
         }
         let q = &self.queries[&number];
         let p = q.parts.iter().find(|p| p.id == part).expect("held");
-        let held = q.parts.iter().any(|p| !p.wanted && q.step == p.step);
-        let (id, calls, alone) = (p.id, p.calls, p.out == 1 && !self.second_copies);
-        let again = p.calls < self.most_calls
-            && self.verticals[q.vertical].effect != Effect::SideEffecting
-            && self.place(q, p).is_some_and(|s| !p.tried.contains(&s));
-        let released = if held || !alone {
-            self.release_spare(number, part)
-        } else if again && self.call_off {
+        if self.waiting(q).is_empty() && !self.may_call(q, p) {
             // No second copy is allowed: the outcome of this one, whatever it is, sends the next.
-            self.host.call_off(id, calls - 1);
-            true
-        } else {
-            false
-        };
-        if released {
-            self.spares.push_back(self.now);
-            let q = self.queries.get_mut(&number).expect("held");
-            let spared = q.parts.iter_mut().filter(|p| p.id == part);
-            spared.for_each(|p| p.spared = true);
+            let again = self.call_off
+                && p.calls < self.most_calls
+                && self.verticals[q.vertical].effect != Effect::SideEffecting
+                && self.place(q, p).is_some_and(|s| !p.tried.contains(&s));
+            if !again {
+                return;
+            }
+            self.call_off_part(part);
         }
+        self.spares.push_back(self.now);
+        let q = self.queries.get_mut(&number).expect("held");
+        q.parts.iter_mut().filter(|p| p.id == part).for_each(|p| p.spared = true);
     }
 
     /// Looks at a query afresh: answer it, give it up, release spares, or see to it later.
     fn review(&mut self, number: u64) {
         let Some(q) = self.queries.get(&number) else { return };
+        let v = &self.verticals[q.vertical];
+        let end = self.end_of(q);
         if q.parts.len() < q.awaited {
-            return;
+            return if self.now >= end {
+                self.give_up(number)
+            };
         }
-        let v = &self.verticals[q.vertical];
-        let (step, threshold, end) = (q.step, v.threshold, self.end_of(q));
-        let need = if step == 0 { v.need } else { 1.0 };
-        let weight =
-            |f: &dyn Fn(&Part) -> bool| -> f64 { q.parts.iter().filter(|p| f(p)).map(|p| p.weight).sum() };
+        let need = if q.step == 0 { v.need } else { 1.0 };
+        let floor = if v.floor < v.need { v.floor } else { need };
+        let weight = |parts: &dyn Fn(&&Part) -> bool| -> f64 {
+            q.parts.iter().filter(parts).map(|p| p.weight).sum::<f64>() + WEIGHT_SLACK
+        };
         let got = weight(&|p| p.done);
-        let full = got >= need - WEIGHT_SLACK && (step == 0 || q.parts.iter().all(|p| p.done));
-        if full {
+        if got >= need {
             return self.answer(number, true);
         }
-        let floor = if v.floor < v.need { v.floor } else { need };
-        let can = |p: &Part| {
-            p.done || p.out > 0 || p.calls == 0 || (p.calls < self.most_calls && self.may_call(q, p))
-        };
-        let reach = weight(&can);
-        if self.now >= end || reach < need - WEIGHT_SLACK {
-            let short = floor < need && got > 0.0 && got >= floor - WEIGHT_SLACK;
-            if short {
+        let reach = weight(&|p| p.done || p.out > 0 || p.calls == 0 || self.may_call(q, p));
+        if self.now >= end || reach < need {
+            if got >= floor {
                 return self.answer(number, false);
             }
-            if self.now >= end || reach < floor - WEIGHT_SLACK {
+            if self.now >= end || reach < floor {
                 return self.give_up(number);
             }
         }
+        let held = q.parts.iter().any(|p| p.calls == 0);
+        let times = self.median_pace() * if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
+        let mut late = Vec::new();
         let mut next = end;
-        let median = self.median_pace();
-        let held = q.parts.iter().any(|p| !p.wanted);
-        let (mut unsent, mut late) = (Vec::new(), Vec::new());
-        for p in q.parts.iter().filter(|p| p.wanted && !p.done) {
-            let times = if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
-            let usual = Duration::from_secs_f64(median * times * self.expected(q, p));
-            let due = p.last_sent.max(self.awake) + threshold.min(usual);
-            if p.out == 0 {
-                unsent.push(p.id);
-                next = next.min(self.now + NO_SERVER_WAIT);
-            } else if self.now >= due && !p.spared {
+        for p in q.parts.iter().filter(|p| p.out > 0 && !p.done && !p.spared) {
+            let usual = Duration::from_secs_f64(times * self.expected(q, p));
+            let due = p.last_sent.max(self.awake) + v.threshold.min(usual);
+            if self.now >= due {
                 late.push(p.id);
-                next = next.min(self.now + NO_SERVER_WAIT);
-            } else if !p.spared {
-                next = next.min(due);
             }
-        }
-        for id in unsent {
-            self.call_part(number, id);
+            next = next.min(due.max(self.now + LOOK_AGAIN));
         }
         for id in late {
             self.overdue(number, id);
         }
+        if !self.fill(number) {
+            next = next.min(self.now + LOOK_AGAIN);
+        }
         let q = self.queries.get_mut(&number).expect("held");
         if q.due.is_none_or(|due| next < due || due <= self.now) {
             q.due = Some(next);
@@ -843,11 +782,10 @@
         }
         q.whole &= enough;
         let (id, whole) = (q.id, q.whole);
+        self.host.answer(id, whole);
         if more == 0 {
-            self.host.answer(id, whole);
             return self.drop_query(number);
         }
-        self.host.answer(id, whole);
         self.clear_parts(number);
         let q = self.queries.get_mut(&number).expect("held");
         (q.step, q.awaited) = (1, more.min(done));
@@ -877,15 +815,16 @@
     /// Lets go of a query's parts; what is still out is called off where that is allowed.
     fn clear_parts(&mut self, number: u64) {
         let Some(q) = self.queries.get_mut(&number) else { return };
-        for p in q.parts.drain(..) {
+        for p in std::mem::take(&mut q.parts) {
             self.numbers.remove(&p.id);
-            if p.out == 0 || !self.call_off {
-                continue;
-            }
-            for s in self.servers.values() {
-                for c in s.calls.iter().filter(|c| c.part == p.id) {
-                    self.host.call_off(p.id, c.number);
-                }
+            self.call_off_part(p.id);
+        }
+    }
+
+    fn call_off_part(&mut self, part: u64) {
+        if self.call_off {
+            for c in self.servers.values().flat_map(|s| &s.calls).filter(|c| c.part == part) {
+                self.host.call_off(part, c.number);
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,8 +58,9 @@
 }
 
 /// Whether a shard server is offered work, as the list of servers has it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
+    #[default]
     Ready,
     Draining,
     Gone,
