--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,7 @@
 const THRESHOLD: f64 = 0.5;
 /// A part is overdue sooner at so many times its expected latency at the fleet's median pace: where
 /// a held part is its spare, which costs little, and where only another leaf call of it is.
-const LATE_WITH_SPARE: f64 = 2.2;
+const LATE_WITH_SPARE: f64 = 1.7;
 const LATE_WITHOUT: f64 = 4.0;
 /// Servers that may look impaired at once; one more trips the breaker. The source's value, or
 /// this share of the servers if that is more: so many are no few sick ones any longer.
