--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,7 +13,7 @@
 
 /// Share of the SLO time after which a part is overdue. The design's start value.
 const THRESHOLD: f64 = 0.5;
-/// A part is overdue sooner at so many times its expected latency at the fleet's median pace: where
+/// A part is overdue sooner at so many times its expected latency at the fleet's usual pace: where
 /// a held part is its spare, which costs little, and where only another leaf call of it is.
 const LATE_WITH_SPARE: f64 = 1.7;
 const LATE_WITHOUT: f64 = 4.0;
@@ -31,7 +31,7 @@
 const CAP_SPAN: Duration = Duration::from_secs(1);
 /// Calls out at which a part leaves its home. The design's start value.
 const HOME_BOUND: usize = 2;
-/// Times the fleet's median pace at which a server is shunned. Below 2 the spread among healthy
+/// Times the fleet's usual pace at which a server is shunned. Below 2 the spread among healthy
 /// servers' answers would do it; far above, a server at a third of its speed would keep its parts.
 const SHUN: f64 = 2.0;
 /// Pace that a failed leaf call counts as: one failure shuns a server until a trial clears it.
@@ -448,18 +448,20 @@
         s.calls.iter().map(silence).fold(s.pace, f64::max)
     }
 
-    fn median_pace(&self) -> f64 {
+    /// The pace of the fleet's well servers. Taken low among them, so that it stands for those even
+    /// when half are silent, as beyond a cut link; a slowdown of all still raises it.
+    fn usual_pace(&self) -> f64 {
         let ready = self.servers.values().filter(|s| s.health == Health::Ready);
         let mut paces: Vec<f64> = ready.map(|s| self.pace(s)).collect();
         paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied().unwrap_or(1.0).max(1.0)
+        paces.get(paces.len() / 4).copied().unwrap_or(1.0).max(1.0)
     }
 
     /// What a server does with a leaf call shows in its pace, the one figure for slowness,
     /// silence, errors, refusals and failed connects.
     fn learn(&mut self, part: u64, call: u32, outcome: Outcome, server: &str) -> bool {
         let now = self.now;
-        let median = self.median_pace();
+        let usual = self.usual_pace();
         let Some(s) = self.servers.get_mut(server) else { return false };
         let at = s.calls.iter().position(|c| c.part == part && c.number == call);
         let Some(at) = at else { return false };
@@ -468,9 +470,9 @@
         let ratio = (took / c.expected).min(FAILED_PACE);
         match outcome {
             Outcome::Completed => {
-                let shunned = s.pace > SHUN * median;
+                let shunned = s.pace > SHUN * usual;
                 s.pace += (ratio - s.pace) * if shunned { 1.0 } else { PACE_WEIGHT };
-                if s.pace <= SHUN * median {
+                if s.pace <= SHUN * usual {
                     s.trial_wait = TRIAL_FIRST;
                 }
                 s.rate = s.rate_at(now) + 1.0 / RATE_SPAN.as_secs_f64();
@@ -519,12 +521,12 @@
     /// The replica for a part: its home, unless that is past its bound or shunned; then the one
     /// with fewest calls out. A shunned server gets a part now and then that can bear the wait.
     fn place(&self, q: &Query, p: &Part) -> Option<ServerId> {
-        let median = self.median_pace();
+        let usual = self.usual_pace();
         let holds = |s: &Server| (s.cell + self.cells - p.shard % self.cells) % self.cells < self.span;
         let mut replicas: Vec<(&ServerId, &Server, bool)> = Vec::new();
         for (id, s) in &self.servers {
             if s.health == Health::Ready && holds(s) && self.cold_room(s) {
-                let well = self.pace(s) <= SHUN * median;
+                let well = self.pace(s) <= SHUN * usual;
                 let side_effecting = self.verticals[q.vertical].effect == Effect::SideEffecting;
                 let trial = !side_effecting && s.calls.is_empty() && self.now >= s.trial;
                 replicas.push((id, s, well || (trial && p.calls == 0)));
@@ -568,7 +570,7 @@
         let limit = self.end_of(q).saturating_sub(now);
         let at = q.parts.iter().position(|p| p.id == part).expect("held");
         let expected = self.expected(q, &q.parts[at]);
-        let shunned = self.pace(&self.servers[id]) > SHUN * self.median_pace();
+        let shunned = self.pace(&self.servers[id]) > SHUN * self.usual_pace();
         let q = self.queries.get_mut(&number).expect("held");
         let p = &mut q.parts[at];
         if let (Some(b), 1..) = (&self.budget, p.calls) {
@@ -628,13 +630,13 @@
     /// call so far, then those that should answer soonest. Overdue ones only beside a running call.
     fn waiting(&self, q: &Query) -> Vec<(f64, u32, f64, u64, ServerId)> {
         let v = &self.verticals[q.vertical];
-        let median = self.median_pace();
+        let usual = self.usual_pace();
         let free = |p: &&Part| (p.out == 0 || p.spared) && self.may_call(q, p);
         let mut waiting = Vec::new();
         for p in q.parts.iter().filter(free) {
             let Some(id) = self.place(q, p) else { continue };
             let expected = self.expected(q, p);
-            let late = v.threshold.as_secs_f64() + median * expected;
+            let late = v.threshold.as_secs_f64() + usual * expected;
             let time = (self.pace(&self.servers[&id]) * expected).min(late);
             waiting.push((p.weight, p.calls, time, p.id, id));
         }
@@ -655,7 +657,7 @@
                 times.push(time);
             }
         }
-        let second = if v.follow_up > 0 { v.usual[1] * self.median_pace() } else { 0.0 };
+        let second = if v.follow_up > 0 { v.usual[1] * self.usual_pace() } else { 0.0 };
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
         let crowded = self.numbers.len() > self.held_limit;
         let share = [[1.0, 1.0], [BEYOND_SHARE, 0.0]][usize::from(!within)][usize::from(crowded)];
@@ -741,7 +743,7 @@
             }
         }
         let held = q.parts.iter().any(|p| p.calls == 0);
-        let times = self.median_pace() * if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
+        let times = self.usual_pace() * if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
         let mut late = Vec::new();
         let mut next = end;
         for p in q.parts.iter().filter(|p| p.out > 0 && !p.done && !p.spared) {
@@ -798,7 +800,7 @@
         let v = &self.verticals[q.vertical];
         let ran = q.step > 0 || q.parts.iter().any(|p| p.maybe_ran || p.out > 0);
         if v.effect == Effect::Repeatable || !ran {
-            let wait = Duration::from_secs_f64(v.usual[0] * self.median_pace());
+            let wait = Duration::from_secs_f64(v.usual[0] * self.usual_pace());
             self.host.reject(q.id, self.back_after.map(|most| wait.min(most)));
         } else {
             self.host.abort(q.id);
