--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! time with `at`, then call the method named after what happened. It acts at once by calling the
 //! host. Both types, and how a leaf call can end, stand in `lib.rs`. `docs/design.md` has the why.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -121,7 +121,7 @@
     rate: f64,
     rated: Duration,
     /// Sends to it while cold.
-    cold_sends: VecDeque<Duration>,
+    cold_sends: Vec<Duration>,
 }
 
 #[derive(Default)]
@@ -131,7 +131,6 @@
     weight: f64,
     /// Logarithm of its cost hint, from the mean; 0 without a hint.
     hint: f64,
-    step: usize,
     done: bool,
     /// Its call is overdue and has its spare.
     spared: bool,
@@ -186,33 +185,25 @@
     ask_at: Duration,
     list_heard: Duration,
     budget: Option<BudgetSettings>,
-    taken: VecDeque<Duration>,
-    extras: VecDeque<Duration>,
+    taken: Vec<Duration>,
+    extras: Vec<Duration>,
     cold_from: f64,
     cold_time: Duration,
     fall_time: Duration,
     /// Seconds of a cold server's full capacity that this gatherer may send in one fall time.
     cold_allowance: f64,
-    sends: VecDeque<Duration>,
-    spares: VecDeque<Duration>,
+    sends: Vec<Duration>,
+    spares: Vec<Duration>,
     halted_until: Duration,
 }
 
 fn hash(key: u64, text: &str) -> u64 {
-    let mut h = key ^ 0xcbf2_9ce4_8422_2325;
-    for b in text.bytes() {
-        h = (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    }
-    h = (h ^ (h >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    let h = text.bytes().fold(key ^ 0xcbf2_9ce4_8422_2325, step);
+    let h = (h ^ (h >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     h ^ (h >> 29)
 }
 
-fn forget(times: &mut VecDeque<Duration>, before: Duration) {
-    while times.front().is_some_and(|t| *t < before) {
-        times.pop_front();
-    }
-}
-
 impl Vertical {
     /// What a cost hint says of a part's latency, by how well hints have told it so far. Keeps a
     /// costly part from making its server look sick, and a poor hint from saying anything.
@@ -273,14 +264,14 @@
             ask_at: now,
             list_heard: now,
             budget: settings.budget,
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
+            taken: Vec::new(),
+            extras: Vec::new(),
             cold_from: settings.cold_from,
             cold_time: settings.cold_time,
             fall_time: settings.fall_time,
             cold_allowance: settings.overload_factor * settings.fall_time.as_secs_f64() * COLD_SAFETY,
-            sends: VecDeque::new(),
-            spares: VecDeque::new(),
+            sends: Vec::new(),
+            spares: Vec::new(),
             halted_until: now,
         };
         if let Some(every) = gatherer.ask_every {
@@ -334,21 +325,14 @@
     /// A query came; its parts follow before time moves on.
     #[allow(clippy::too_many_arguments)]
     pub fn query_came(
-        &mut self,
-        id: u64,
-        number: u64,
-        vertical: usize,
-        tenant: Option<usize>,
-        key: Option<&str>,
-        until: Duration,
-        parts: usize,
+        &mut self, id: u64, number: u64, vertical: usize, tenant: Option<usize>, key: Option<&str>,
+        until: Duration, parts: usize,
     ) {
-        self.taken.push_back(self.now);
+        self.taken.push(self.now);
         if vertical >= self.verticals.len() || self.queries.contains_key(&number) {
             return self.host.abort(id);
         }
         self.numbers.insert(id, number);
-        let tenant = tenant.filter(|t| *t < self.tenants.len());
         let key = key.map_or_else(|| hash(number, ""), |k| hash(0, k));
         let (came, awaited, whole) = (self.now, parts, true);
         let q = Query { id, vertical, tenant, key, came, until, awaited, whole, ..Query::default() };
@@ -359,8 +343,8 @@
 
     /// A part of a query came. With the last one of a step, the step begins.
     pub fn part_came(&mut self, id: u64, number: u64, shard: u32, weight: f64, hint: Option<Duration>) {
-        self.taken.push_back(self.now);
-        forget(&mut self.taken, self.now.saturating_sub(self.budget.map_or(Duration::ZERO, |b| b.span)));
+        self.taken.push(self.now);
+        self.taken.retain(|t| *t >= self.now.saturating_sub(self.budget.map_or(Duration::ZERO, |b| b.span)));
         let Some(q) = self.queries.get_mut(&number) else { return };
         let [mean, variance, _] = &mut self.verticals[q.vertical].hint;
         let hint = hint.filter(|h| !h.is_zero() && q.step == 0).map_or(0.0, |h| {
@@ -370,7 +354,7 @@
             h - *mean
         });
         self.numbers.insert(id, number);
-        q.parts.push(Part { id, shard, weight, hint, step: q.step, ..Part::default() });
+        q.parts.push(Part { id, shard, weight, hint, ..Part::default() });
         if q.parts.len() == q.awaited {
             if q.step == 0 { self.admit(number) } else { self.review(number) }
         }
@@ -439,7 +423,7 @@
     /// Latency to expect of a part, in seconds, from a server that answers as usual.
     fn expected(&self, q: &Query, p: &Part) -> f64 {
         let v = &self.verticals[q.vertical];
-        v.usual[p.step] * v.hint_scale(p.hint)
+        v.usual[q.step] * v.hint_scale(p.hint)
     }
 
     /// A server's pace as it shows now: that of its answers, or of the silence of a call out.
@@ -494,11 +478,8 @@
     /// Guards every server whose start is young, whatever the reason of its start. Does harm where
     /// no warm server is busy: then a cold one gets one part in a fall time, and peers the rest.
     fn cold_room(&self, s: &Server) -> bool {
-        let Some(started) = s.started else { return true };
-        let age = self.now.saturating_sub(started).as_secs_f64() / self.cold_time.as_secs_f64();
-        if age >= 1.0 {
-            return true;
-        }
+        let age = |t| self.now.saturating_sub(t).as_secs_f64() / self.cold_time.as_secs_f64();
+        let Some(age) = s.started.map(age).filter(|age| *age < 1.0) else { return true };
         let share = self.cold_from + (1.0 - self.cold_from) * age;
         let rates = self.servers.values().map(|s| s.rate_at(self.now));
         let allowed = share * self.cold_allowance * rates.fold(0.0, f64::max);
@@ -544,8 +525,8 @@
         replicas.iter().min_by_key(rank).map(|r| r.0.clone())
     }
 
-    /// Whether the rules allow a leaf call for this part now.
-    fn may_call(&self, q: &Query, p: &Part) -> bool {
+    /// Whether the rules allow a leaf call for this part now, with so many of its own still waited for.
+    fn may_call(&self, q: &Query, p: &Part, out: u32) -> bool {
         let apart = match self.verticals[q.vertical].effect {
             Effect::Repeatable => true,
             Effect::Deduplicated(window) => {
@@ -560,7 +541,7 @@
             extras + 1.0 <= b.least + b.share * taken
         };
         let room = p.calls == 0 || self.budget.as_ref().is_none_or(room);
-        !p.done && p.calls < self.most_calls && (p.out == 0 || self.second_copies) && apart && room
+        !p.done && p.calls < self.most_calls && (out == 0 || self.second_copies) && apart && room
     }
 
     /// Sends a part to the server that it was placed at.
@@ -574,13 +555,13 @@
         let q = self.queries.get_mut(&number).expect("held");
         let p = &mut q.parts[at];
         if let (Some(b), 1..) = (&self.budget, p.calls) {
-            forget(&mut self.extras, now.saturating_sub(b.span));
-            self.extras.push_back(now);
+            self.extras.retain(|t| *t >= now.saturating_sub(b.span));
+            self.extras.push(now);
         }
         if !p.maybe_ran && p.out == 0 {
             p.first_sent = now;
         }
-        let (vertical, step, hint) = (q.vertical, p.step, p.hint);
+        let (vertical, step, hint) = (q.vertical, q.step, p.hint);
         let call = Call { part, number: p.calls, sent: now, expected, vertical, step, hint };
         (p.spared, p.last_sent) = (false, now);
         p.calls += 1;
@@ -592,12 +573,12 @@
             s.trial_wait = (s.trial_wait * 2).min(TRIAL_LAST);
         }
         if s.started.is_some() {
-            forget(&mut s.cold_sends, now.saturating_sub(self.fall_time));
-            s.cold_sends.push_back(now);
+            s.cold_sends.retain(|t| *t >= now.saturating_sub(self.fall_time));
+            s.cold_sends.push(now);
         }
         s.calls.push(call);
-        forget(&mut self.sends, now.saturating_sub(CAP_SPAN));
-        self.sends.push_back(now);
+        self.sends.retain(|t| *t >= now.saturating_sub(CAP_SPAN));
+        self.sends.push(now);
         self.host.call(part, id, limit);
     }
 
@@ -615,15 +596,13 @@
 
     /// Within the tenant's share, counted over a short span.
     fn within_share(&mut self, tenant: Option<usize>) -> bool {
-        let Some(t) = tenant.map(|t| &mut self.tenants[t]) else { return true };
+        let Some(t) = tenant.and_then(|t| self.tenants.get_mut(t)) else { return true };
         let gained = (self.now - t.counted).as_secs_f64() * t.rate;
         t.left = (t.left + gained).min(t.rate * SHARE_SPAN.as_secs_f64());
         t.counted = self.now;
-        if t.left < 1.0 {
-            return false;
-        }
-        t.left -= 1.0;
-        true
+        let within = t.left >= 1.0;
+        t.left -= f64::from(u8::from(within));
+        within
     }
 
     /// Parts that may be sent next, with their servers: the heaviest first, then those with no leaf
@@ -631,7 +610,7 @@
     fn waiting(&self, q: &Query) -> Vec<(f64, u32, f64, u64, ServerId)> {
         let v = &self.verticals[q.vertical];
         let usual = self.usual_pace();
-        let free = |p: &&Part| (p.out == 0 || p.spared) && self.may_call(q, p);
+        let free = |p: &&Part| (p.out == 0 || p.spared) && self.may_call(q, p, p.out);
         let mut waiting = Vec::new();
         for p in q.parts.iter().filter(free) {
             let Some(id) = self.place(q, p) else { continue };
@@ -695,23 +674,23 @@
         if impaired as f64 > most && self.now >= self.halted_until {
             self.halted_until = self.now + COOLDOWN;
         }
-        forget(&mut self.spares, self.now.saturating_sub(CAP_SPAN));
+        let since = self.now.saturating_sub(CAP_SPAN);
+        self.spares.retain(|t| *t >= since);
         let cap = (self.sends.len() as f64 * CAP_SHARE).max(1.0);
         if self.now < self.halted_until || (self.spares.len() + 1) as f64 > cap {
             return;
         }
         let q = &self.queries[&number];
         let p = q.parts.iter().find(|p| p.id == part).expect("held");
-        if !self.may_call(q, p) && self.waiting(q).is_empty() {
+        if !self.may_call(q, p, p.out) && self.waiting(q).is_empty() {
             // No second copy is allowed: the outcome of this one, whatever it is, sends the next.
-            let effect = self.verticals[q.vertical].effect;
             let elsewhere = self.place(q, p).is_some_and(|s| !p.tried.contains(&s));
-            if effect == Effect::SideEffecting || p.calls >= self.most_calls || !elsewhere {
+            if !elsewhere || !self.may_call(q, p, 0) {
                 return;
             }
             self.call_off_part(part);
         }
-        self.spares.push_back(self.now);
+        self.spares.push(self.now);
         let q = self.queries.get_mut(&number).expect("held");
         q.parts.iter_mut().filter(|p| p.id == part).for_each(|p| p.spared = true);
     }
@@ -733,7 +712,7 @@
         if got >= need {
             return self.answer(number, true);
         }
-        let reach = weight(&|p| p.done || p.out > 0 || p.calls == 0 || self.may_call(q, p));
+        let reach = weight(&|p| p.done || p.out > 0 || p.calls == 0 || self.may_call(q, p, p.out));
         if self.now >= end || reach < need {
             if got >= floor {
                 return self.answer(number, false);
@@ -783,8 +762,7 @@
             v.stretch += (took.clamp(0.5, 4.0) - v.stretch) * STRETCH_WEIGHT;
         }
         q.whole &= enough;
-        let (id, whole) = (q.id, q.whole);
-        self.host.answer(id, whole);
+        self.host.answer(q.id, q.whole);
         if more == 0 {
             return self.drop_query(number);
         }
