--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,6 +102,7 @@
     vertical: usize,
     step: usize,
     hint: f64,
+    crowd: usize,
 }
 
 /// All that is known of a shard server.
@@ -196,6 +197,8 @@
     sends: Vec<Duration>,
     spares: Vec<Duration>,
     halted_until: Duration,
+    /// Calls out when those were sent whose latencies were lately seen.
+    crowd: f64,
 }
 
 fn hash(key: u64, text: &str) -> u64 {
@@ -274,6 +277,7 @@
             sends: Vec::new(),
             spares: Vec::new(),
             halted_until: now,
+            crowd: 0.0,
         };
         if let Some(every) = gatherer.ask_every {
             gatherer.host.watch_list();
@@ -467,6 +471,7 @@
                 let usual = &mut v.usual[c.step];
                 v.hint[2] += (c.hint * (took / *usual).max(0.01).ln() - v.hint[2]) * USUAL_WEIGHT;
                 *usual += (plain - *usual).min(*usual * 4.0) * USUAL_WEIGHT;
+                self.crowd += (c.crowd as f64 - self.crowd) * USUAL_WEIGHT;
             }
             Outcome::NeverSent => {}
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
@@ -551,6 +556,7 @@
         let limit = self.end_of(q).saturating_sub(now);
         let at = q.parts.iter().position(|p| p.id == part).expect("held");
         let expected = self.expected(q, &q.parts[at]);
+        let crowd = self.servers.values().map(|s| s.calls.len()).sum();
         let shunned = self.pace(&self.servers[id]) > SHUN * self.usual_pace();
         let q = self.queries.get_mut(&number).expect("held");
         let p = &mut q.parts[at];
@@ -562,7 +568,7 @@
             p.first_sent = now;
         }
         let (vertical, step, hint) = (q.vertical, q.step, p.hint);
-        let call = Call { part, number: p.calls, sent: now, expected, vertical, step, hint };
+        let call = Call { part, number: p.calls, sent: now, expected, vertical, step, hint, crowd };
         (p.spared, p.last_sent) = (false, now);
         p.calls += 1;
         p.out += 1;
@@ -635,11 +641,16 @@
             }
         }
         let second = if v.follow_up > 0 { v.usual[1] * self.usual_pace() } else { 0.0 };
+        // Guards against a prediction that keeps itself true: with less out than when latencies were
+        // seen, less is to be expected, and with nothing out anything is taken. Covers whatever made
+        // them high and went. Does harm where others' load alone is the cause: a few queries are late.
+        let out: usize = self.servers.values().map(|s| s.calls.len()).sum();
+        let emptier = ((out + 1) as f64 / (self.crowd + 1.0)).min(1.0);
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
         let crowded = self.numbers.len() > self.held_limit;
         let share = [[1.0, 1.0], [BEYOND_SHARE, 0.0]][usize::from(!within)][usize::from(crowded)];
         let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
-        if weight < v.floor - WEIGHT_SLACK || predicted * v.stretch > time.as_secs_f64() {
+        if weight < v.floor - WEIGHT_SLACK || predicted * v.stretch * emptier > time.as_secs_f64() {
             return self.give_up(number);
         }
         self.queries.get_mut(&number).expect("held").predicted = predicted;
