--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -135,7 +135,6 @@
             "tick" => {
                 self.now = Duration::from_micros(f.parsed("time_us")?);
                 self.in_batch = true;
-                self.gatherers.values_mut().for_each(|g| g.at(self.now));
                 return Ok(false);
             }
             _ if !self.in_batch => return Err(format!("{name:?} stands outside a batch")),
@@ -145,7 +144,9 @@
                 return Ok(true);
             }
             "target_instance" => {
-                self.instance = Some(f.parsed("gatherer_id")?);
+                let instance = f.parsed("gatherer_id")?;
+                self.instance = Some(instance);
+                self.gatherers.get_mut(&instance).iter_mut().for_each(|g| g.at(self.now));
                 return Ok(false);
             }
             "list" => return self.list(&mut f).map(|()| false),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,10 +51,10 @@
 const STRETCH_WEIGHT: f64 = 0.05;
 /// Share of the SLO time in which queries beyond a tenant's share must be predicted to be done.
 const BEYOND_SHARE: f64 = 0.7;
-/// A tenant's share is counted over this long.
-const SHARE_SPAN: Duration = Duration::from_secs(5);
-/// Time over which a server's answers a second are averaged.
-const RATE_SPAN: Duration = Duration::from_secs(5);
+/// Times its share at which a tenant is beyond it: over a few seconds traffic varies by so much.
+const SHARE_SLACK: f64 = 1.3;
+/// Seconds over which a server's answers and a tenant's queries a second are averaged.
+const RATE_SPAN: f64 = 5.0;
 /// Share of the cold servers' limit that is used: our view of what a warm one takes is rough.
 const COLD_SAFETY: f64 = 0.7;
 /// A wake this much later than asked shows that this gatherer was starved.
@@ -87,10 +87,13 @@
     stretch: f64,
 }
 
+/// So many a second, of late.
+#[derive(Default)]
+struct Rate(f64, Duration);
+
 struct Tenant {
-    rate: f64,
-    left: f64,
-    counted: Duration,
+    share: f64,
+    rate: Rate,
 }
 
 /// A leaf call that is out.
@@ -118,9 +121,7 @@
     trial: Duration,
     trial_wait: Duration,
     impaired: Option<Duration>,
-    /// Answers a second, and when that was counted.
-    rate: f64,
-    rated: Duration,
+    answers: Rate,
     /// Sends to it within the last fall time.
     sends: Vec<Duration>,
 }
@@ -168,6 +169,8 @@
     rng: fastrand::Rng,
     verticals: Vec<Vertical>,
     tenants: Vec<Tenant>,
+    /// This gatherer's part of all traffic, were it spread evenly.
+    even_share: f64,
     servers: BTreeMap<ServerId, Server>,
     queries: BTreeMap<u64, Query>,
     /// The query's number for the id of each query and part held.
@@ -217,10 +220,13 @@
     }
 }
 
-impl Server {
-    /// Answers a second, by now.
-    fn rate_at(&self, now: Duration) -> f64 {
-        self.rate * (-(now - self.rated).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp()
+impl Rate {
+    fn at(&self, now: Duration) -> f64 {
+        self.0 * (-(now - self.1).as_secs_f64() / RATE_SPAN).exp()
+    }
+
+    fn count(&mut self, now: Duration) {
+        *self = Rate(self.at(now) + 1.0 / RATE_SPAN, now);
     }
 }
 
@@ -239,11 +245,8 @@
             stretch: STRETCH_AT_FIRST,
         });
         let gatherers = f64::from(settings.gatherers.max(1));
-        let tenants = settings.tenant_rates.iter().map(|rate| Tenant {
-            rate: rate / gatherers,
-            left: rate / gatherers * SHARE_SPAN.as_secs_f64(),
-            counted: now,
-        });
+        let tenant = |rate: &f64| Tenant { share: rate.max(1e-6), rate: Rate::default() };
+        let tenants = settings.tenant_rates.iter().map(tenant);
         let mut gatherer = Gatherer {
             host,
             now,
@@ -251,6 +254,7 @@
             rng: fastrand::Rng::with_seed(settings.seed),
             verticals: verticals.collect(),
             tenants: tenants.collect(),
+            even_share: 1.0 / gatherers,
             servers: BTreeMap::new(),
             queries: BTreeMap::new(),
             numbers: BTreeMap::new(),
@@ -286,9 +290,17 @@
         gatherer
     }
 
-    /// The time of what happens next.
+    /// The time of what happens next to this gatherer.
+    ///
+    /// Guards against taking servers for late when this gatherer itself stood still: a wake that is
+    /// overdue shows it, whatever the cause of the pause. Calls out then count as young, and their
+    /// latencies teach nothing. Does harm where wakes are always late: spares are late by as much.
     pub fn at(&mut self, now: Duration) {
         self.now = self.now.max(now);
+        let due = self.queries.values().filter_map(|q| q.due).min();
+        if due.is_some_and(|due| self.now > due + STARVED) {
+            self.awake = self.now;
+        }
     }
 
     /// A list of servers begins: all of them, or changes only.
@@ -371,15 +383,9 @@
             return self.list_due();
         }
         let Some(q) = self.queries.get_mut(&token) else { return };
-        let Some(due) = q.due.filter(|due| self.now >= *due) else { return };
-        q.due = None;
-        // Guards against trips on healthy servers when this gatherer itself stood still: their
-        // answers may be waiting behind this wake. Covers any pause of the process or machine. It
-        // does harm only where wakes are always late: then spares are late by as much.
-        if self.now - due > STARVED {
-            self.awake = self.now;
+        if q.due.take_if(|due| self.now >= *due).is_some() {
+            self.review(token);
         }
-        self.review(token);
     }
 
     /// A leaf call ended.
@@ -458,14 +464,15 @@
         let took = (now - c.sent).as_secs_f64();
         let ratio = (took / c.expected).min(FAILED_PACE);
         match outcome {
+            // What was out while this gatherer stood still says nothing of its server.
+            _ if c.sent < self.awake => {}
             Outcome::Completed => {
                 let shunned = s.pace > SHUN * usual;
                 s.pace += (ratio - s.pace) * if shunned { 1.0 } else { PACE_WEIGHT };
                 if s.pace <= SHUN * usual {
                     s.trial_wait = TRIAL_FIRST;
                 }
-                s.rate = s.rate_at(now) + 1.0 / RATE_SPAN.as_secs_f64();
-                s.rated = now;
+                s.answers.count(now);
                 let v = &mut self.verticals[c.vertical];
                 let plain = took / v.hint_scale(c.hint);
                 let usual = &mut v.usual[c.step];
@@ -487,7 +494,7 @@
         let age = |t| self.now.saturating_sub(t).as_secs_f64() / self.cold_time.as_secs_f64();
         let Some(age) = s.started.map(age).filter(|age| *age < 1.0) else { return true };
         let share = self.cold_from + (1.0 - self.cold_from) * age;
-        let rates = self.servers.values().map(|s| s.rate_at(self.now));
+        let rates = self.servers.values().map(|s| s.answers.at(self.now));
         let allowed = share * self.cold_allowance * rates.fold(0.0, f64::max);
         let since = s.started.max(Some(self.now.saturating_sub(self.fall_time)));
         let sent = s.sends.iter().filter(|t| Some(**t) >= since).count();
@@ -598,15 +605,15 @@
         if q.step == 0 { self.verticals[q.vertical].need } else { 1.0 }
     }
 
-    /// Within the tenant's share, counted over a short span.
+    /// Whether a query is within its tenant's share. This gatherer's part of the share is the even
+    /// one, or more where the other tenants' traffic shows that it gets more than the even part.
     fn within_share(&mut self, tenant: Option<usize>) -> bool {
-        let Some(t) = tenant.and_then(|t| self.tenants.get_mut(t)) else { return true };
-        let gained = (self.now - t.counted).as_secs_f64() * t.rate;
-        t.left = (t.left + gained).min(t.rate * SHARE_SPAN.as_secs_f64());
-        t.counted = self.now;
-        let within = t.left >= 1.0;
-        t.left -= f64::from(u8::from(within));
-        within
+        let Some(t) = tenant.filter(|t| *t < self.tenants.len()) else { return true };
+        self.tenants[t].rate.count(self.now);
+        let used: Vec<f64> = self.tenants.iter().map(|t| t.rate.at(self.now) / t.share).collect();
+        let others = (0..used.len()).filter(|u| *u != t).map(|u| used[u]);
+        let part = others.fold(self.even_share, f64::max);
+        self.rng.f64() * used[t] <= part * SHARE_SLACK
     }
 
     /// Parts that may be sent next, with their servers: the heaviest first, then those with no leaf
@@ -766,7 +773,7 @@
         let v = &mut self.verticals[q.vertical];
         let more = if q.step == 0 { v.follow_up as usize } else { 0 };
         let done = q.parts.iter().filter(|p| p.done).count();
-        if q.predicted > 0.0 && more == 0 {
+        if q.predicted > 0.0 && more == 0 && q.came >= self.awake {
             let took = (self.now - q.came).as_secs_f64() / q.predicted;
             v.stretch += (took.clamp(0.5, 4.0) - v.stretch) * STRETCH_WEIGHT;
         }
