--- a/src/decide.rs
+++ b/src/decide.rs
@@ -79,7 +79,6 @@
     slo: Duration,
     late_utility: f64,
     effect: Effect,
-    threshold: Duration,
     /// Usual latency of a part, in seconds, in the first and the second step.
     usual: [f64; 2],
     /// Mean logarithm of the cost hints, its variance, and its covariance with the latency's.
@@ -179,7 +178,7 @@
     span: u32,
     parts_a_call: usize,
     most_calls: u32,
-    held_limit: usize,
+    most_held: f64,
     second_copies: bool,
     call_off: bool,
     back_after: Option<Duration>,
@@ -232,17 +231,11 @@
 
 impl<H: Host> Gatherer<H> {
     pub fn new(host: H, settings: &Settings, now: Duration) -> Self {
-        let verticals = settings.verticals.iter().map(|v| Vertical {
-            need: v.need,
-            floor: v.floor,
-            follow_up: v.follow_up,
-            slo: v.slo,
-            late_utility: v.late_utility,
-            effect: v.effect,
-            threshold: v.slo.mul_f64(THRESHOLD),
-            usual: [v.slo.as_secs_f64() * USUAL_AT_FIRST; 2],
-            hint: [f64::NAN, 1.0, 0.0],
-            stretch: STRETCH_AT_FIRST,
+        let verticals = settings.verticals.iter().map(|v| {
+            let (need, floor, follow_up, slo) = (v.need, v.floor, v.follow_up, v.slo);
+            let (late_utility, effect, hint) = (v.late_utility, v.effect, [f64::NAN, 1.0, 0.0]);
+            let (usual, stretch) = ([slo.as_secs_f64() * USUAL_AT_FIRST; 2], STRETCH_AT_FIRST);
+            Vertical { need, floor, follow_up, slo, late_utility, effect, usual, hint, stretch }
         });
         let gatherers = f64::from(settings.gatherers.max(1));
         let tenant = |rate: &f64| Tenant { share: rate.max(1e-6), rate: Rate::default() };
@@ -262,7 +255,7 @@
             span: settings.span,
             parts_a_call: settings.parts_a_call.max(1) as usize,
             most_calls: settings.most_calls.max(1),
-            held_limit: settings.most_held / 2,
+            most_held: settings.most_held.max(1) as f64,
             second_copies: settings.second_copies,
             call_off: settings.call_off,
             back_after: settings.back_after,
@@ -303,10 +296,12 @@
         }
     }
 
-    /// A list of servers begins: all of them, or changes only.
+    /// A list of servers begins: all of them, or changes only. Those that were gone before are
+    /// forgotten once nothing is out at them.
     pub fn list_begins(&mut self, all: bool) {
         self.list_heard = Some(self.now);
         self.ask_wait = ASK_AGAIN;
+        self.servers.retain(|_, s| s.health != Health::Gone || !s.calls.is_empty());
         if all {
             self.servers.values_mut().for_each(|s| s.health = Health::Gone);
         }
@@ -314,22 +309,15 @@
 
     /// The list names a server. A start that we have not seen makes it new, and perhaps cold.
     pub fn server_listed(&mut self, id: &str, health: Health, cell: u32, started: Option<Duration>) {
-        let cold_until = started.map(|t| t + self.cold_time);
-        let started = started.filter(|_| cold_until > Some(self.now));
+        let started = started.filter(|t| *t + self.cold_time > self.now);
         let fresh = || Server { pace: 1.0, trial_wait: TRIAL_FIRST, ..Server::default() };
         let server = self.servers.entry(id.into()).or_insert_with(fresh);
         if started.is_some() && server.started != started {
-            server.pace = 1.0;
-            server.trial_wait = TRIAL_FIRST;
+            (server.pace, server.trial_wait) = (1.0, TRIAL_FIRST);
         }
         (server.health, server.cell, server.started) = (health, cell, started);
     }
 
-    /// The list is through. Servers that are gone are forgotten once nothing is out at them.
-    pub fn list_ends(&mut self) {
-        self.servers.retain(|_, s| s.health != Health::Gone || !s.calls.is_empty());
-    }
-
     /// The list could not be had, or no longer follows its changes: ask again, ever more slowly.
     pub fn list_failed(&mut self) {
         let Some(every) = self.ask_every else { return };
@@ -343,7 +331,7 @@
     #[allow(clippy::too_many_arguments)]
     pub fn query_came(
         &mut self, id: u64, number: u64, vertical: usize, tenant: Option<usize>, key: Option<&str>,
-        until: Duration, parts: usize,
+        until: Duration, awaited: usize,
     ) {
         self.taken.push(self.now);
         if vertical >= self.verticals.len() || self.queries.contains_key(&number) {
@@ -351,7 +339,7 @@
         }
         self.numbers.insert(id, number);
         let key = key.map_or_else(|| hash(number, ""), |k| hash(0, k));
-        let (came, awaited, whole) = (self.now, parts, true);
+        let (came, whole) = (self.now, true);
         let q = Query { id, vertical, tenant, key, came, until, awaited, whole, ..Query::default() };
         let end = self.end_of(&q);
         self.queries.insert(number, q);
@@ -517,13 +505,12 @@
     fn place(&self, q: &Query, p: &Part) -> Option<ServerId> {
         let usual = self.usual_pace();
         let holds = |s: &Server| (s.cell + self.cells - p.shard % self.cells) % self.cells < self.span;
+        let bears = p.calls == 0 && self.verticals[q.vertical].effect != Effect::SideEffecting;
         let mut replicas: Vec<(&ServerId, &Server, bool)> = Vec::new();
         for (id, s) in &self.servers {
             if s.health == Health::Ready && holds(s) && self.cold_room(s) {
-                let well = self.pace(s) <= SHUN * usual;
-                let side_effecting = self.verticals[q.vertical].effect == Effect::SideEffecting;
-                let trial = !side_effecting && s.calls.is_empty() && self.now >= s.trial;
-                replicas.push((id, s, well || (trial && p.calls == 0)));
+                let trial = bears && s.calls.is_empty() && self.now >= s.trial;
+                replicas.push((id, s, trial || self.pace(s) <= SHUN * usual));
             }
         }
         let fresh = |id: &ServerId| !p.tried.contains(id);
@@ -577,8 +564,7 @@
         let (vertical, step, hint) = (q.vertical, q.step, p.hint);
         let call = Call { part, number: p.calls, sent: now, expected, vertical, step, hint, crowd };
         (p.spared, p.last_sent) = (false, now);
-        p.calls += 1;
-        p.out += 1;
+        (p.calls, p.out) = (p.calls + 1, p.out + 1);
         p.tried.push(id.clone());
         let s = self.servers.get_mut(id).expect("placed");
         if shunned {
@@ -610,10 +596,10 @@
     fn within_share(&mut self, tenant: Option<usize>) -> bool {
         let Some(t) = tenant.filter(|t| *t < self.tenants.len()) else { return true };
         self.tenants[t].rate.count(self.now);
-        let used: Vec<f64> = self.tenants.iter().map(|t| t.rate.at(self.now) / t.share).collect();
-        let others = (0..used.len()).filter(|u| *u != t).map(|u| used[u]);
+        let used = |t: &Tenant| t.rate.at(self.now) / t.share;
+        let others = self.tenants.iter().enumerate().filter(|(u, _)| *u != t).map(|(_, u)| used(u));
         let part = others.fold(self.even_share, f64::max);
-        self.rng.f64() * used[t] <= part * SHARE_SLACK
+        self.rng.f64() * used(&self.tenants[t]) <= part * SHARE_SLACK
     }
 
     /// Parts that may be sent next, with their servers: the heaviest first, then those with no leaf
@@ -626,7 +612,7 @@
         for p in q.parts.iter().filter(free) {
             let Some(id) = self.place(q, p) else { continue };
             let expected = self.expected(q, p);
-            let late = v.threshold.as_secs_f64() + usual * expected;
+            let late = v.slo.as_secs_f64() * THRESHOLD + usual * expected;
             let time = (self.pace(&self.servers[&id]) * expected).min(late);
             waiting.push((p.weight, p.calls, time, p.id, id));
         }
@@ -654,8 +640,8 @@
         let out: usize = self.servers.values().map(|s| s.calls.len()).sum();
         let emptier = ((out + 1) as f64 / (self.crowd + 1.0)).min(1.0);
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
-        let crowded = self.numbers.len() > self.held_limit;
-        let share = [[1.0, 1.0], [BEYOND_SHARE, 0.0]][usize::from(!within)][usize::from(crowded)];
+        let room = (1.0 - self.numbers.len() as f64 / self.most_held).max(0.0);
+        let share = if within { 1.0 } else { BEYOND_SHARE * room };
         let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
         if weight < v.floor - WEIGHT_SLACK || predicted * v.stretch * emptier > time.as_secs_f64() {
             return self.give_up(number);
@@ -684,7 +670,7 @@
         let held = q.parts.iter().any(|p| p.calls == 0);
         let times = if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
         let usual = Duration::from_secs_f64(times * self.usual_pace() * self.expected(q, p));
-        let due = p.last_sent.max(self.awake) + self.verticals[q.vertical].threshold.min(usual);
+        let due = p.last_sent.max(self.awake) + self.verticals[q.vertical].slo.mul_f64(THRESHOLD).min(usual);
         Some(due).filter(|_| p.out > 0 && !p.done && !p.spared)
     }
 
@@ -804,8 +790,7 @@
 
     fn drop_query(&mut self, number: u64) {
         self.clear_parts(number);
-        let id = self.queries.remove(&number).map(|q| q.id);
-        id.map(|id| self.numbers.remove(&id));
+        self.queries.remove(&number).map(|q| self.numbers.remove(&q.id));
     }
 
     /// Lets go of a query's parts; what is still out is called off where that is allowed.
