--- a/src/decide.rs
+++ b/src/decide.rs
@@ -450,10 +450,10 @@
         let Some(at) = at else { return false };
         let c = s.calls.swap_remove(at);
         let took = (now - c.sent).as_secs_f64();
-        let ratio = (took / c.expected).min(FAILED_PACE);
+        let ratio = took / c.expected;
         match outcome {
             // What was out while this gatherer stood still says nothing of its server.
-            _ if c.sent < self.awake => {}
+            _ if c.sent < self.awake || outcome == Outcome::NeverSent => {}
             Outcome::Completed => {
                 let shunned = s.pace > SHUN * usual;
                 s.pace += (ratio - s.pace) * if shunned { 1.0 } else { PACE_WEIGHT };
@@ -468,7 +468,6 @@
                 *usual += (plain - *usual).min(*usual * 4.0) * USUAL_WEIGHT;
                 self.crowd += (c.crowd as f64 - self.crowd) * USUAL_WEIGHT;
             }
-            Outcome::NeverSent => {}
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
             _ => s.pace += (FAILED_PACE - s.pace) * PACE_WEIGHT,
         }
@@ -555,7 +554,7 @@
         let q = self.queries.get_mut(&number).expect("held");
         let p = &mut q.parts[at];
         if let (Some(b), 1..) = (&self.budget, p.calls) {
-            self.extras.retain(|t| *t >= now.saturating_sub(b.span));
+            self.extras.retain(|t| now - *t <= b.span);
             self.extras.push(now);
         }
         if !p.maybe_ran && p.out == 0 {
@@ -612,9 +611,13 @@
         for p in q.parts.iter().filter(free) {
             let Some(id) = self.place(q, p) else { continue };
             let expected = self.expected(q, p);
-            let late = v.slo.as_secs_f64() * THRESHOLD + usual * expected;
-            let time = (self.pace(&self.servers[&id]) * expected).min(late);
-            waiting.push((p.weight, p.calls, time, p.id, id));
+            let s = &self.servers[&id];
+            let late = if s.calls.is_empty() { v.slo.as_secs_f64() * THRESHOLD } else { f64::INFINITY };
+            let time = (self.pace(s) * expected).min(late + usual * expected);
+            // A server that has just failed this part gets it again only after a usual answer's time.
+            if !p.tried.contains(&id) || (self.now - p.last_sent).as_secs_f64() >= expected {
+                waiting.push((p.weight, p.calls, time, p.id, id));
+            }
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2)));
         waiting
@@ -622,8 +625,7 @@
 
     /// Takes a query if it is predicted to be in time; beyond its tenant's share, well in time.
     fn admit(&mut self, number: u64) {
-        let tenant = self.queries[&number].tenant;
-        let within = self.within_share(tenant);
+        let within = self.within_share(self.queries[&number].tenant);
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
         let (mut weight, mut times) = (0.0, Vec::new());
@@ -640,10 +642,11 @@
         let out: usize = self.servers.values().map(|s| s.calls.len()).sum();
         let emptier = ((out + 1) as f64 / (self.crowd + 1.0)).min(1.0);
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
-        let room = (1.0 - self.numbers.len() as f64 / self.most_held).max(0.0);
-        let share = if within { 1.0 } else { BEYOND_SHARE * room };
+        let room = BEYOND_SHARE * (1.0 - self.numbers.len() as f64 / self.most_held).max(0.0);
+        let share = if within { 1.0 } else { room };
         let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
-        if weight < v.floor - WEIGHT_SLACK || predicted * v.stretch * emptier > time.as_secs_f64() {
+        let slowest = times.iter().copied().fold(predicted * v.stretch, f64::max);
+        if weight < v.floor - WEIGHT_SLACK || slowest * emptier > time.as_secs_f64() {
             return self.give_up(number);
         }
         self.queries.get_mut(&number).expect("held").predicted = predicted;
@@ -803,10 +806,7 @@
     }
 
     fn call_off_part(&mut self, part: u64) {
-        if self.call_off {
-            for c in self.servers.values().flat_map(|s| &s.calls).filter(|c| c.part == part) {
-                self.host.call_off(part, c.number);
-            }
-        }
+        let calls = self.servers.values().flat_map(|s| &s.calls);
+        calls.filter(|c| self.call_off && c.part == part).for_each(|c| self.host.call_off(part, c.number));
     }
 }
