--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,14 +21,12 @@
 /// this share of the servers if that is more: so many are no few sick ones any longer.
 const IMPAIRED_MOST: usize = 2;
 const IMPAIRED_SHARE: f64 = 0.34;
-/// How long a server counts as impaired. Short, as our threshold is crossed by ordinary parts too.
+/// How long a server counts as impaired, and the cap's second. Short, as ordinary parts fall overdue too.
 const IMPAIRED_WINDOW: Duration = Duration::from_secs(1);
 /// How long the tripped breaker halts spares: a few queries' time, then it judges afresh.
 const COOLDOWN: Duration = Duration::from_secs(1);
 /// Spares a second for each part sent in that second, at least one. The design's start value.
 const CAP_SHARE: f64 = 0.1;
-/// The cap's second.
-const CAP_SPAN: Duration = Duration::from_secs(1);
 /// Calls out at which a part leaves its home. The design's start value.
 const HOME_BOUND: usize = 2;
 /// Times the fleet's usual pace at which a server is shunned. Below 2 the spread among healthy
@@ -49,6 +47,8 @@
 const STRETCH_AT_FIRST: f64 = 1.5;
 /// Weight of the latest query in that figure.
 const STRETCH_WEIGHT: f64 = 0.05;
+/// Share of the calls seen out below which a prediction shrinks: above it, latency varies as it may.
+const EMPTY: f64 = 0.5;
 /// Share of the SLO time in which queries beyond a tenant's share must be predicted to be done.
 const BEYOND_SHARE: f64 = 0.7;
 /// Times its share at which a tenant is beyond it: over a few seconds traffic varies by so much.
@@ -573,7 +573,7 @@
         s.sends.retain(|t| *t >= now.saturating_sub(self.fall_time));
         s.sends.push(now);
         s.calls.push(call);
-        self.sends.retain(|t| *t >= now.saturating_sub(CAP_SPAN));
+        self.sends.retain(|t| *t >= now.saturating_sub(IMPAIRED_WINDOW));
         self.sends.push(now);
         self.host.call(part, id, limit);
     }
@@ -640,7 +640,7 @@
         // seen, less is to be expected, and with nothing out anything is taken. Covers whatever made
         // them high and went. Does harm where others' load alone is the cause: a few queries are late.
         let out: usize = self.servers.values().map(|s| s.calls.len()).sum();
-        let emptier = ((out + 1) as f64 / (self.crowd + 1.0)).min(1.0);
+        let emptier = ((out + 1) as f64 / (self.crowd * EMPTY + 1.0)).min(1.0);
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
         let room = BEYOND_SHARE * (1.0 - self.numbers.len() as f64 / self.most_held).max(0.0);
         let share = if within { 1.0 } else { room };
@@ -688,7 +688,6 @@
         if impaired as f64 > most && self.now >= self.halted_until {
             self.halted_until = self.now + COOLDOWN;
         }
-        let since = self.now.saturating_sub(CAP_SPAN);
         self.spares.retain(|t| *t >= since);
         let cap = (self.sends.len() as f64 * CAP_SHARE).max(1.0);
         if self.now < self.halted_until || (self.spares.len() + 1) as f64 > cap {
