--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,8 +32,8 @@
 /// Times the fleet's usual pace at which a server is shunned. Below 2 the spread among healthy
 /// servers' answers would do it; far above, a server at a third of its speed would keep its parts.
 const SHUN: f64 = 2.0;
-/// Pace that a failed leaf call counts as: one failure shuns a server until a trial clears it.
-const FAILED_PACE: f64 = 8.0;
+/// Pace that a failed leaf call counts as: two running shun a server, a stray one does not.
+const FAILED_PACE: f64 = 4.0;
 /// Weight of the latest answer in a server's pace: some five answers change it.
 const PACE_WEIGHT: f64 = 0.3;
 /// Weight of the latest answer in a vertical's usual latency: some fifty answers change it.
