--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,10 +43,8 @@
 /// Wait from one trial of a shunned server to the next, doubling from the first to the second.
 const TRIAL_FIRST: Duration = Duration::from_secs(1);
 const TRIAL_LAST: Duration = Duration::from_secs(8);
-/// The slowest of a query's parts against the slowest expected, before any query is done.
-const STRETCH_AT_FIRST: f64 = 1.5;
-/// Weight of the latest query in that figure.
-const STRETCH_WEIGHT: f64 = 0.05;
+/// A whole query's time against its parts' mean: the slowest of some ten, and their spares.
+const STRETCH: f64 = 1.8;
 /// Share of the calls seen out below which a prediction shrinks: above it, latency varies as it may.
 const EMPTY: f64 = 0.5;
 /// Share of the SLO time in which queries beyond a tenant's share must be predicted to be done.
@@ -83,7 +81,6 @@
     usual: [f64; 2],
     /// Mean logarithm of the cost hints, its variance, and its covariance with the latency's.
     hint: [f64; 3],
-    stretch: f64,
 }
 
 /// So many a second, of late.
@@ -155,7 +152,6 @@
     step: usize,
     awaited: usize,
     whole: bool,
-    predicted: f64,
     due: Option<Duration>,
 }
 
@@ -234,8 +230,8 @@
         let verticals = settings.verticals.iter().map(|v| {
             let (need, floor, follow_up, slo) = (v.need, v.floor, v.follow_up, v.slo);
             let (late_utility, effect, hint) = (v.late_utility, v.effect, [f64::NAN, 1.0, 0.0]);
-            let (usual, stretch) = ([slo.as_secs_f64() * USUAL_AT_FIRST; 2], STRETCH_AT_FIRST);
-            Vertical { need, floor, follow_up, slo, late_utility, effect, usual, hint, stretch }
+            let usual = [slo.as_secs_f64() * USUAL_AT_FIRST; 2];
+            Vertical { need, floor, follow_up, slo, late_utility, effect, usual, hint }
         });
         let gatherers = f64::from(settings.gatherers.max(1));
         let tenant = |rate: &f64| Tenant { share: rate.max(1e-6), rate: Rate::default() };
@@ -645,11 +641,10 @@
         let room = BEYOND_SHARE * (1.0 - self.numbers.len() as f64 / self.most_held).max(0.0);
         let share = if within { 1.0 } else { room };
         let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
-        let slowest = times.iter().copied().fold(predicted * v.stretch, f64::max);
+        let slowest = times.iter().copied().fold(predicted * STRETCH, f64::max);
         if weight < v.floor - WEIGHT_SLACK || slowest * emptier > time.as_secs_f64() {
             return self.give_up(number);
         }
-        self.queries.get_mut(&number).expect("held").predicted = predicted;
         self.review(number);
     }
 
@@ -758,13 +753,9 @@
     /// Answers a query. A vertical with a second step goes on with it after the first answer.
     fn answer(&mut self, number: u64, enough: bool) {
         let q = self.queries.get_mut(&number).expect("held");
-        let v = &mut self.verticals[q.vertical];
+        let v = &self.verticals[q.vertical];
         let more = if q.step == 0 { v.follow_up as usize } else { 0 };
         let done = q.parts.iter().filter(|p| p.done).count();
-        if q.predicted > 0.0 && more == 0 && q.came >= self.awake {
-            let took = (self.now - q.came).as_secs_f64() / q.predicted;
-            v.stretch += (took.clamp(0.5, 4.0) - v.stretch) * STRETCH_WEIGHT;
-        }
         q.whole &= enough;
         self.host.answer(q.id, q.whole);
         if more == 0 {
