--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,8 +17,7 @@
 /// a held part is its spare, which costs little, and where only another leaf call of it is.
 const LATE_WITH_SPARE: f64 = 1.7;
 const LATE_WITHOUT: f64 = 4.0;
-/// Servers that may look impaired at once; one more trips the breaker. The source's value, or
-/// this share of the servers if that is more: so many are no few sick ones any longer.
+/// Servers that may look impaired at once: the source's number, or this share of the fleet if more.
 const IMPAIRED_MOST: usize = 2;
 const IMPAIRED_SHARE: f64 = 0.34;
 /// How long a server counts as impaired, and the cap's second. Short, as ordinary parts fall overdue too.
@@ -114,6 +113,8 @@
     calls: Vec<Call>,
     /// Latency of its answers against the expected one.
     pace: f64,
+    /// The same for errors, by vertical: 1 without any.
+    faults: BTreeMap<usize, f64>,
     trial: Duration,
     trial_wait: Duration,
     impaired: Option<Duration>,
@@ -151,7 +152,7 @@
     parts: Vec<Part>,
     step: usize,
     awaited: usize,
-    whole: bool,
+    short: bool,
     due: Option<Duration>,
 }
 
@@ -281,9 +282,9 @@
 
     /// The time of what happens next to this gatherer.
     ///
-    /// Guards against taking servers for late when this gatherer itself stood still: a wake that is
-    /// overdue shows it, whatever the cause of the pause. Calls out then count as young, and their
-    /// latencies teach nothing. Does harm where wakes are always late: spares are late by as much.
+    /// An overdue wake shows that this gatherer itself stood still, whatever the cause. Calls out then
+    /// count as young and teach nothing, lest their servers be taken for late. Does harm where wakes
+    /// are always late: spares are late by as much.
     pub fn at(&mut self, now: Duration) {
         self.now = self.now.max(now);
         let due = self.queries.values().filter_map(|q| q.due).min();
@@ -309,7 +310,7 @@
         let fresh = || Server { pace: 1.0, trial_wait: TRIAL_FIRST, ..Server::default() };
         let server = self.servers.entry(id.into()).or_insert_with(fresh);
         if started.is_some() && server.started != started {
-            (server.pace, server.trial_wait) = (1.0, TRIAL_FIRST);
+            (server.pace, server.trial_wait, server.faults) = (1.0, TRIAL_FIRST, BTreeMap::new());
         }
         (server.health, server.cell, server.started) = (health, cell, started);
     }
@@ -318,8 +319,8 @@
     pub fn list_failed(&mut self) {
         let Some(every) = self.ask_every else { return };
         self.list_heard = None;
-        let spread = 0.75 + self.rng.f64() / 2.0;
-        self.ask_later(self.ask_wait.mul_f64(spread));
+        let wait = self.ask_wait.mul_f64(0.75 + self.rng.f64() / 2.0);
+        self.ask_later(wait);
         self.ask_wait = (self.ask_wait * 2).min(every);
     }
 
@@ -335,8 +336,7 @@
         }
         self.numbers.insert(id, number);
         let key = key.map_or_else(|| hash(number, ""), |k| hash(0, k));
-        let (came, whole) = (self.now, true);
-        let q = Query { id, vertical, tenant, key, came, until, awaited, whole, ..Query::default() };
+        let q = Query { id, vertical, tenant, key, came: self.now, until, awaited, ..Query::default() };
         let end = self.end_of(&q);
         self.queries.insert(number, q);
         self.see_to(number, end);
@@ -417,21 +417,23 @@
 
     /// Latency to expect of a part, in seconds, from a server that answers as usual.
     fn expected(&self, q: &Query, p: &Part) -> f64 {
-        let v = &self.verticals[q.vertical];
-        v.usual[q.step] * v.hint_scale(p.hint)
+        self.verticals[q.vertical].usual[q.step] * self.verticals[q.vertical].hint_scale(p.hint)
     }
 
-    /// A server's pace as it shows now: that of its answers, or of the silence of a call out.
-    fn pace(&self, s: &Server) -> f64 {
+    /// A server's pace as it shows now to a vertical: that of its answers, of a silent call out, or of
+    /// its errors by vertical, so that one it cannot serve (a bad release, bad data) is kept from it
+    /// though others are answered. Does harm where it fails all: each learns it by itself.
+    fn pace(&self, s: &Server, vertical: usize) -> f64 {
         let silence = |c: &Call| (self.now - c.sent.max(self.awake).min(self.now)).as_secs_f64() / c.expected;
-        s.calls.iter().map(silence).fold(s.pace, f64::max)
+        let faults = s.faults.get(&vertical).copied().unwrap_or(1.0);
+        s.calls.iter().map(silence).fold(s.pace.max(faults), f64::max)
     }
 
     /// The pace of the fleet's well servers. Taken low among them, so that it stands for those even
     /// when half are silent, as beyond a cut link; a slowdown of all still raises it.
-    fn usual_pace(&self) -> f64 {
+    fn usual_pace(&self, vertical: usize) -> f64 {
         let ready = self.servers.values().filter(|s| s.health == Health::Ready);
-        let mut paces: Vec<f64> = ready.map(|s| self.pace(s)).collect();
+        let mut paces: Vec<f64> = ready.map(|s| self.pace(s, vertical)).collect();
         paces.sort_by(f64::total_cmp);
         paces.get(paces.len() / 4).copied().unwrap_or(1.0).max(1.0)
     }
@@ -440,7 +442,7 @@
     /// silence, errors, refusals and failed connects.
     fn learn(&mut self, part: u64, call: u32, outcome: Outcome, server: &str) -> bool {
         let now = self.now;
-        let usual = self.usual_pace();
+        let usual: Vec<f64> = (0..self.verticals.len()).map(|v| self.usual_pace(v)).collect();
         let Some(s) = self.servers.get_mut(server) else { return false };
         let at = s.calls.iter().position(|c| c.part == part && c.number == call);
         let Some(at) = at else { return false };
@@ -451,10 +453,13 @@
             // What was out while this gatherer stood still says nothing of its server.
             _ if c.sent < self.awake || outcome == Outcome::NeverSent => {}
             Outcome::Completed => {
-                let shunned = s.pace > SHUN * usual;
+                let faults = s.faults.remove(&c.vertical).unwrap_or(1.0);
+                let shunned = s.pace.max(faults) > SHUN * usual[c.vertical];
                 s.pace += (ratio - s.pace) * if shunned { 1.0 } else { PACE_WEIGHT };
-                if s.pace <= SHUN * usual {
-                    s.trial_wait = TRIAL_FIRST;
+                if !shunned {
+                    s.trial_wait =
+                        if s.faults.values().any(|f| *f > SHUN) { s.trial_wait } else { TRIAL_FIRST };
+                    s.faults.insert(c.vertical, faults + (1.0 - faults) * PACE_WEIGHT);
                 }
                 s.answers.count(now);
                 let v = &mut self.verticals[c.vertical];
@@ -465,14 +470,17 @@
                 self.crowd += (c.crowd as f64 - self.crowd) * USUAL_WEIGHT;
             }
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
+            Outcome::Errored => {
+                let faults = s.faults.entry(c.vertical).or_insert(1.0);
+                *faults += (FAILED_PACE - *faults) * PACE_WEIGHT;
+            }
             _ => s.pace += (FAILED_PACE - s.pace) * PACE_WEIGHT,
         }
         true
     }
 
-    /// How many more sends a server takes without being pushed over, by what warm ones answer.
-    /// Guards every server whose start is young, whatever the reason of its start. Does harm where
-    /// no warm server is busy: then a cold one gets one part in a fall time, and peers the rest.
+    /// Whether a server bears one more send while cold, by what warm ones answer. Does harm where none
+    /// of these is busy: then a cold one gets one part in a fall time, and its peers the rest.
     fn cold_room(&self, s: &Server) -> bool {
         let age = |t| self.now.saturating_sub(t).as_secs_f64() / self.cold_time.as_secs_f64();
         let Some(age) = s.started.map(age).filter(|age| *age < 1.0) else { return true };
@@ -498,14 +506,17 @@
     /// The replica for a part: its home, unless that is past its bound or shunned; then the one
     /// with fewest calls out. A shunned server gets a part now and then that can bear the wait.
     fn place(&self, q: &Query, p: &Part) -> Option<ServerId> {
-        let usual = self.usual_pace();
+        let usual = self.usual_pace(q.vertical);
         let holds = |s: &Server| (s.cell + self.cells - p.shard % self.cells) % self.cells < self.span;
         let bears = p.calls == 0 && self.verticals[q.vertical].effect != Effect::SideEffecting;
         let mut replicas: Vec<(&ServerId, &Server, bool)> = Vec::new();
         for (id, s) in &self.servers {
             if s.health == Health::Ready && holds(s) && self.cold_room(s) {
-                let trial = bears && s.calls.is_empty() && self.now >= s.trial;
-                replicas.push((id, s, trial || self.pace(s) <= SHUN * usual));
+                // Beside others' calls only where nothing but this vertical's errors speaks against it.
+                let well = |vertical| self.pace(s, vertical) <= SHUN * usual;
+                let tried = |c: &Call| c.vertical == q.vertical || !well(self.verticals.len());
+                let trial = bears && self.now >= s.trial && !s.calls.iter().any(tried);
+                replicas.push((id, s, trial || well(q.vertical)));
             }
         }
         let fresh = |id: &ServerId| !p.tried.contains(id);
@@ -514,7 +525,7 @@
             return Some(home.0.clone());
         }
         let rank = |(id, s, fit): &&(&ServerId, &Server, bool)| {
-            let pace = if *fit { 0 } else { (self.pace(s) * 100.0) as u64 };
+            let pace = if *fit { 0 } else { (self.pace(s, q.vertical) * 100.0) as u64 };
             (!fresh(id), pace, self.load(s), std::cmp::Reverse(hash(q.key, id)))
         };
         replicas.iter().min_by_key(rank).map(|r| r.0.clone())
@@ -546,7 +557,7 @@
         let at = q.parts.iter().position(|p| p.id == part).expect("held");
         let expected = self.expected(q, &q.parts[at]);
         let crowd = self.servers.values().map(|s| s.calls.len()).sum();
-        let shunned = self.pace(&self.servers[id]) > SHUN * self.usual_pace();
+        let shunned = self.pace(&self.servers[id], q.vertical) > SHUN * self.usual_pace(q.vertical);
         let q = self.queries.get_mut(&number).expect("held");
         let p = &mut q.parts[at];
         if let (Some(b), 1..) = (&self.budget, p.calls) {
@@ -598,10 +609,10 @@
     }
 
     /// Parts that may be sent next, with their servers: the heaviest first, then those with no leaf
-    /// call so far, then those that should answer soonest. Overdue ones only beside a running call.
+    /// call so far, then those that should answer soonest.
     fn waiting(&self, q: &Query) -> Vec<(f64, u32, f64, u64, ServerId)> {
         let v = &self.verticals[q.vertical];
-        let usual = self.usual_pace();
+        let usual = self.usual_pace(q.vertical);
         let free = |p: &&Part| (p.out == 0 || p.spared) && self.may_call(q, p, p.out);
         let mut waiting = Vec::new();
         for p in q.parts.iter().filter(free) {
@@ -609,7 +620,7 @@
             let expected = self.expected(q, p);
             let s = &self.servers[&id];
             let late = if s.calls.is_empty() { v.slo.as_secs_f64() * THRESHOLD } else { f64::INFINITY };
-            let time = (self.pace(s) * expected).min(late + usual * expected);
+            let time = (self.pace(s, q.vertical) * expected).min(late + usual * expected);
             // A server that has just failed this part gets it again only after a usual answer's time.
             if !p.tried.contains(&id) || (self.now - p.last_sent).as_secs_f64() >= expected {
                 waiting.push((p.weight, p.calls, time, p.id, id));
@@ -631,10 +642,9 @@
                 times.push(time);
             }
         }
-        let second = if v.follow_up > 0 { v.usual[1] * self.usual_pace() } else { 0.0 };
-        // Guards against a prediction that keeps itself true: with less out than when latencies were
-        // seen, less is to be expected, and with nothing out anything is taken. Covers whatever made
-        // them high and went. Does harm where others' load alone is the cause: a few queries are late.
+        let second = if v.follow_up > 0 { v.usual[1] * self.usual_pace(q.vertical) } else { 0.0 };
+        // With little out less is expected than was seen, so that no prediction keeps itself true, whatever
+        // raised it. Does harm where others' load alone is the cause: a few queries are late.
         let out: usize = self.servers.values().map(|s| s.calls.len()).sum();
         let emptier = ((out + 1) as f64 / (self.crowd * EMPTY + 1.0)).min(1.0);
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
@@ -667,7 +677,7 @@
     fn overdue_at(&self, q: &Query, p: &Part) -> Option<Duration> {
         let held = q.parts.iter().any(|p| p.calls == 0);
         let times = if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
-        let usual = Duration::from_secs_f64(times * self.usual_pace() * self.expected(q, p));
+        let usual = Duration::from_secs_f64(times * self.usual_pace(q.vertical) * self.expected(q, p));
         let due = p.last_sent.max(self.awake) + self.verticals[q.vertical].slo.mul_f64(THRESHOLD).min(usual);
         Some(due).filter(|_| p.out > 0 && !p.done && !p.spared)
     }
@@ -756,8 +766,8 @@
         let v = &self.verticals[q.vertical];
         let more = if q.step == 0 { v.follow_up as usize } else { 0 };
         let done = q.parts.iter().filter(|p| p.done).count();
-        q.whole &= enough;
-        self.host.answer(q.id, q.whole);
+        q.short |= !enough;
+        self.host.answer(q.id, !q.short);
         if more == 0 {
             return self.drop_query(number);
         }
@@ -773,7 +783,7 @@
         let v = &self.verticals[q.vertical];
         let ran = q.step > 0 || q.parts.iter().any(|p| p.maybe_ran || p.out > 0);
         if v.effect == Effect::Repeatable || !ran {
-            let wait = Duration::from_secs_f64(v.usual[0] * self.usual_pace());
+            let wait = Duration::from_secs_f64(v.usual[0] * self.usual_pace(q.vertical));
             self.host.reject(q.id, self.back_after.map(|most| wait.min(most)));
         } else {
             self.host.abort(q.id);
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -156,6 +156,29 @@
     assert!(astray <= 3, "{astray} of the last 30 went to silent servers");
 }
 
+#[test]
+fn a_vertical_that_a_server_cannot_serve_is_kept_from_it_though_others_are_answered() {
+    let both = vec![vertical(1.0, 1.0, 0, Effect::Repeatable); 2];
+    let mut stage = Stage::new(settings(both));
+    warm_up(&mut stage, &[]);
+    let mut errors = 0;
+    for id in (20_000..40_000).step_by(100) {
+        stage.query(id, usize::from(id % 200 == 0), &[0, 2, 4]);
+        stage.pass(ms(50));
+        for at in 0..stage.calls() {
+            let (out, bad) = {
+                let (w, c) = (stage.world.borrow(), &stage.world.borrow().calls[at]);
+                (c.ended.is_none(), c.server == "s0" && w.queries[&w.parts[&c.part].query].vertical == 1)
+            };
+            if out {
+                errors += usize::from(bad);
+                stage.settle(at, if bad { Outcome::Errored } else { Outcome::Completed });
+            }
+        }
+    }
+    assert!(errors <= 7, "{errors} of 100 parts went where their vertical is not served");
+}
+
 #[test]
 fn a_gatherer_without_recent_answers_sends_a_cold_server_one_part_a_fall_time() {
     let mut stage = Stage::new(any(1.0));
