--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,9 @@
 /// Times the fleet's usual pace at which a server is shunned. Below 2 the spread among healthy
 /// servers' answers would do it; far above, a server at a third of its speed would keep its parts.
 const SHUN: f64 = 2.0;
+/// The usual pace is that of the server one such part up from the quickest: a cut into three zones
+/// leaves a third of the fleet, and half of these may be slow besides.
+const USUAL_RANK: usize = 6;
 /// Pace that a failed leaf call counts as: two running shun a server, a stray one does not.
 const FAILED_PACE: f64 = 4.0;
 /// Weight of the latest answer in a server's pace: some five answers change it.
@@ -58,9 +61,9 @@
 const STARVED: Duration = Duration::from_millis(100);
 /// Least wait before a query with an overdue or unplaced part is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
-/// First wait before the list is asked for again; it doubles, up to half the stated time.
+/// First wait before the list is asked for again; it doubles, up to the next share of the stated time,
+/// after which a quiet list is asked for again.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
-/// Share of the stated time after which a quiet list is asked for again.
 const ASK_SHARE: f64 = 0.4;
 /// Weights may fall short by rounding; the rules bear twice this.
 const WEIGHT_SLACK: f64 = 5e-5;
@@ -204,7 +207,7 @@
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
     let h = text.bytes().fold(key ^ 0xcbf2_9ce4_8422_2325, step);
     let h = (h ^ (h >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    h ^ (h >> 29)
+    h ^ (h >> 32)
 }
 
 impl Vertical {
@@ -299,9 +302,7 @@
         self.list_heard = Some(self.now);
         self.ask_wait = ASK_AGAIN;
         self.servers.retain(|_, s| s.health != Health::Gone || !s.calls.is_empty());
-        if all {
-            self.servers.values_mut().for_each(|s| s.health = Health::Gone);
-        }
+        self.servers.values_mut().filter(|_| all).for_each(|s| s.health = Health::Gone);
     }
 
     /// The list names a server. A start that we have not seen makes it new, and perhaps cold.
@@ -429,13 +430,13 @@
         s.calls.iter().map(silence).fold(s.pace.max(faults), f64::max)
     }
 
-    /// The pace of the fleet's well servers. Taken low among them, so that it stands for those even
-    /// when half are silent, as beyond a cut link; a slowdown of all still raises it.
+    /// The pace of the fleet's well servers, low enough among all that most may be silent, as beyond a
+    /// cut link. A slowdown of all still raises it. Does harm where a few are far quicker than the rest.
     fn usual_pace(&self, vertical: usize) -> f64 {
         let ready = self.servers.values().filter(|s| s.health == Health::Ready);
         let mut paces: Vec<f64> = ready.map(|s| self.pace(s, vertical)).collect();
         paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 4).copied().unwrap_or(1.0).max(1.0)
+        paces.get(paces.len() / USUAL_RANK).copied().unwrap_or(1.0).max(1.0)
     }
 
     /// What a server does with a leaf call shows in its pace, the one figure for slowness,
@@ -592,7 +593,6 @@
         useful.saturating_sub(self.end_margin)
     }
 
-    /// Weight of the parts that make the step whole.
     fn need(&self, q: &Query) -> f64 {
         if q.step == 0 { self.verticals[q.vertical].need } else { 1.0 }
     }
@@ -649,8 +649,8 @@
         let emptier = ((out + 1) as f64 / (self.crowd * EMPTY + 1.0)).min(1.0);
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + second;
         let room = BEYOND_SHARE * (1.0 - self.numbers.len() as f64 / self.most_held).max(0.0);
-        let share = if within { 1.0 } else { room };
-        let time = v.slo.mul_f64(share).min(self.end_of(q).saturating_sub(self.now));
+        let time =
+            v.slo.mul_f64(if within { 1.0 } else { room }).min(self.end_of(q).saturating_sub(self.now));
         let slowest = times.iter().copied().fold(predicted * STRETCH, f64::max);
         if weight < v.floor - WEIGHT_SLACK || slowest * emptier > time.as_secs_f64() {
             return self.give_up(number);
