--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,9 @@
 /// The usual pace is that of the server one such part up from the quickest: a cut into three zones
 /// leaves a third of the fleet, and half of these may be slow besides.
 const USUAL_RANK: usize = 6;
-/// Pace that a failed leaf call counts as: two running shun a server, a stray one does not.
-const FAILED_PACE: f64 = 4.0;
+/// Times by which each failed leaf call raises a pace: two running shun a server, a stray one does
+/// not, and one that only fails soon looks worse than any that is merely slow.
+const FAILED_TIMES: f64 = 2.0;
 /// Weight of the latest answer in a server's pace: some five answers change it.
 const PACE_WEIGHT: f64 = 0.3;
 /// Weight of the latest answer in a vertical's usual latency: some fifty answers change it.
@@ -471,11 +472,8 @@
                 self.crowd += (c.crowd as f64 - self.crowd) * USUAL_WEIGHT;
             }
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
-            Outcome::Errored => {
-                let faults = s.faults.entry(c.vertical).or_insert(1.0);
-                *faults += (FAILED_PACE - *faults) * PACE_WEIGHT;
-            }
-            _ => s.pace += (FAILED_PACE - s.pace) * PACE_WEIGHT,
+            Outcome::Errored => *s.faults.entry(c.vertical).or_insert(1.0) *= FAILED_TIMES,
+            _ => s.pace = s.pace.max(1.0) * FAILED_TIMES,
         }
         true
     }
@@ -619,7 +617,8 @@
             let Some(id) = self.place(q, p) else { continue };
             let expected = self.expected(q, p);
             let s = &self.servers[&id];
-            let late = if s.calls.is_empty() { v.slo.as_secs_f64() * THRESHOLD } else { f64::INFINITY };
+            let trial = s.calls.is_empty() && self.now >= s.trial;
+            let late = if trial { v.slo.as_secs_f64() * THRESHOLD } else { f64::INFINITY };
             let time = (self.pace(s, q.vertical) * expected).min(late + usual * expected);
             // A server that has just failed this part gets it again only after a usual answer's time.
             if !p.tried.contains(&id) || (self.now - p.last_sent).as_secs_f64() >= expected {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -242,3 +242,31 @@
     stage.gatherer.settled(101, 0, Outcome::Completed, "s0", true);
     assert_eq!(stage.log().last().expect("an answer"), "answer 100");
 }
+
+#[test]
+fn of_two_shunned_replicas_the_one_that_only_fails_is_left_for_the_slow_one() {
+    let mut stage = Stage::new(any(1.0));
+    warm_up(&mut stage, &[]);
+    // s1 refuses every connection, trials too; s0 answers.
+    for id in (20_000..24_000).step_by(100) {
+        stage.query(id, 0, &[0]);
+        for _ in 0..4 {
+            stage.pass(ms(25));
+            for at in 0..stage.calls() {
+                let dead = stage.world.borrow().calls[at].server == "s1";
+                if stage.world.borrow().calls[at].ended.is_none() {
+                    stage.settle(at, if dead { Outcome::Unreachable } else { Outcome::Completed });
+                }
+            }
+        }
+        stage.pass(ms(600));
+    }
+    // Now s0 is silent as well, for over four times a usual answer; another query takes s1's trial.
+    stage.query(100, 0, &[0]);
+    stage.pass(ms(230));
+    stage.query(200, 0, &[0]);
+    stage.settle_part(201, Outcome::Unreachable);
+    stage.world.borrow_mut().log.clear();
+    stage.query(300, 0, &[0]);
+    assert!(!stage.log().iter().any(|l| l == "call 301 s1"), "{:?}", stage.log());
+}
