--- a/src/decide.rs
+++ b/src/decide.rs
@@ -444,10 +444,11 @@
     /// silence, errors, refusals and failed connects.
     fn learn(&mut self, part: u64, call: u32, outcome: Outcome, server: &str) -> bool {
         let now = self.now;
-        let usual: Vec<f64> = (0..self.verticals.len()).map(|v| self.usual_pace(v)).collect();
-        let Some(s) = self.servers.get_mut(server) else { return false };
-        let at = s.calls.iter().position(|c| c.part == part && c.number == call);
+        let is_it = |c: &Call| c.part == part && c.number == call;
+        let at = self.servers.get(server).and_then(|s| s.calls.iter().position(is_it));
         let Some(at) = at else { return false };
+        let usual = self.usual_pace(self.servers[server].calls[at].vertical);
+        let s = self.servers.get_mut(server).expect("known");
         let c = s.calls.swap_remove(at);
         let took = (now - c.sent).as_secs_f64();
         let ratio = took / c.expected;
@@ -456,7 +457,7 @@
             _ if c.sent < self.awake || outcome == Outcome::NeverSent => {}
             Outcome::Completed => {
                 let faults = s.faults.remove(&c.vertical).unwrap_or(1.0);
-                let shunned = s.pace.max(faults) > SHUN * usual[c.vertical];
+                let shunned = s.pace.max(faults) > SHUN * usual;
                 s.pace += (ratio - s.pace) * if shunned { 1.0 } else { PACE_WEIGHT };
                 if !shunned {
                     s.trial_wait =
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -294,16 +294,24 @@
         self.gatherer.settled(part, number, outcome, &server, outcome == Outcome::Completed);
     }
 
-    /// Ends all calls of a part that are out.
-    pub fn settle_part(&mut self, part: u64, outcome: Outcome) {
+    /// Ends the calls that are out, each as it is told; those that are told nothing stay out.
+    pub fn settle_all(&mut self, how: impl Fn(&World, &Call) -> Option<Outcome>) {
         for at in 0..self.calls() {
-            let out = |c: &Call| c.part == part && c.ended.is_none();
-            if out(&self.world.borrow().calls[at]) {
+            let outcome = {
+                let w = self.world.borrow();
+                Some(&w.calls[at]).filter(|c| c.ended.is_none()).and_then(|c| how(&w, c))
+            };
+            if let Some(outcome) = outcome {
                 self.settle(at, outcome);
             }
         }
     }
 
+    /// Ends all calls of a part that are out.
+    pub fn settle_part(&mut self, part: u64, outcome: Outcome) {
+        self.settle_all(|_, c| Some(outcome).filter(|_| c.part == part));
+    }
+
     /// Moves time on, through each wake that is due.
     pub fn pass(&mut self, time: Duration) {
         let until = self.world.borrow().now + time;
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -11,15 +11,11 @@
 
 /// Ends what is out: called off where it was, else completed, but for the calls at silent servers.
 fn settle_but(stage: &mut Stage, silent: &[&str]) {
-    for at in 0..stage.calls() {
-        let (out, off, answers) = {
-            let c = &stage.world.borrow().calls[at];
-            (c.ended.is_none(), c.called_off, !silent.contains(&c.server.as_str()))
-        };
-        if out && (off || answers) {
-            stage.settle(at, if off { Outcome::CalledOff } else { Outcome::Completed });
-        }
-    }
+    stage.settle_all(|_, c| match (c.called_off, silent.contains(&c.server.as_str())) {
+        (true, _) => Some(Outcome::CalledOff),
+        (false, true) => None,
+        (false, false) => Some(Outcome::Completed),
+    });
 }
 
 /// Queries that are answered at once by all but the named servers, to make latencies known.
@@ -50,7 +46,7 @@
     let mut stage = Stage::new(any(0.6));
     warm_up(&mut stage, &[]);
     stage.query(100, 0, &[0, 1, 2, 3, 4]);
-    let first = stage.world.borrow().calls.len() - 3;
+    let first = stage.calls() - 3;
     stage.settle(first, Outcome::Completed);
     stage.settle(first + 1, Outcome::Completed);
     stage.pass(ms(100));
@@ -98,15 +94,9 @@
     let mut stage = Stage::new(any(1.0));
     warm_up(&mut stage, &[]);
     stage.query(100, 0, &[0]);
-    let at = stage.world.borrow().calls.len() - 1;
+    let at = stage.calls() - 1;
     stage.pass(ms(400));
-    assert_eq!(
-        stage.count("off 101"),
-        1,
-        "{:?} {:?}",
-        stage.log(),
-        (stage.world.borrow().now, &stage.world.borrow().wakes)
-    );
+    assert_eq!(stage.count("off 101"), 1, "{:?}", stage.log());
     assert_eq!(stage.count("call 101"), 1, "not before the outcome is known");
     stage.settle(at, Outcome::CalledOff);
     let w = stage.world.borrow();
@@ -161,21 +151,16 @@
     let both = vec![vertical(1.0, 1.0, 0, Effect::Repeatable); 2];
     let mut stage = Stage::new(settings(both));
     warm_up(&mut stage, &[]);
-    let mut errors = 0;
     for id in (20_000..40_000).step_by(100) {
         stage.query(id, usize::from(id % 200 == 0), &[0, 2, 4]);
         stage.pass(ms(50));
-        for at in 0..stage.calls() {
-            let (out, bad) = {
-                let (w, c) = (stage.world.borrow(), &stage.world.borrow().calls[at]);
-                (c.ended.is_none(), c.server == "s0" && w.queries[&w.parts[&c.part].query].vertical == 1)
-            };
-            if out {
-                errors += usize::from(bad);
-                stage.settle(at, if bad { Outcome::Errored } else { Outcome::Completed });
-            }
-        }
+        stage.settle_all(|w, c| {
+            let bad = c.server == "s0" && w.queries[&w.parts[&c.part].query].vertical == 1;
+            Some(if bad { Outcome::Errored } else { Outcome::Completed })
+        });
     }
+    let w = stage.world.borrow();
+    let errors = w.calls.iter().filter(|c| c.ended == Some(Outcome::Errored)).count();
     assert!(errors <= 7, "{errors} of 100 parts went where their vertical is not served");
 }
 
@@ -206,11 +191,7 @@
     assert!(stage.count("reject") > 20, "few queries are taken while each needs its whole SLO time");
     // Nothing is out any more, and no answer has come that could have made the prediction better.
     stage.pass(ms(4000));
-    for at in 0..stage.calls() {
-        if stage.world.borrow().calls[at].ended.is_none() {
-            stage.settle(at, Outcome::CalledOff);
-        }
-    }
+    stage.settle_all(|_, _| Some(Outcome::CalledOff));
     stage.world.borrow_mut().log.clear();
     stage.query(100, 0, &[0, 1, 2]);
     assert_eq!(stage.count("call"), 3, "{:?}", stage.log().last());
@@ -252,12 +233,8 @@
         stage.query(id, 0, &[0]);
         for _ in 0..4 {
             stage.pass(ms(25));
-            for at in 0..stage.calls() {
-                let dead = stage.world.borrow().calls[at].server == "s1";
-                if stage.world.borrow().calls[at].ended.is_none() {
-                    stage.settle(at, if dead { Outcome::Unreachable } else { Outcome::Completed });
-                }
-            }
+            let dead = |c: &common::Call| c.server == "s1";
+            stage.settle_all(|_, c| Some(if dead(c) { Outcome::Unreachable } else { Outcome::Completed }));
         }
         stage.pass(ms(600));
     }
