--- a/tests/design.rs
+++ b/tests/design.rs
@@ -151,6 +151,7 @@
     let both = vec![vertical(1.0, 1.0, 0, Effect::Repeatable); 2];
     let mut stage = Stage::new(settings(both));
     warm_up(&mut stage, &[]);
+    let began = stage.world.borrow().now;
     for id in (20_000..40_000).step_by(100) {
         stage.query(id, usize::from(id % 200 == 0), &[0, 2, 4]);
         stage.pass(ms(50));
@@ -162,6 +163,9 @@
     let w = stage.world.borrow();
     let errors = w.calls.iter().filter(|c| c.ended == Some(Outcome::Errored)).count();
     assert!(errors <= 7, "{errors} of 100 parts went where their vertical is not served");
+    let served = w.calls.iter().filter(|c| c.server == "s0" && c.sent >= began);
+    let served = served.filter(|c| c.ended == Some(Outcome::Completed)).count();
+    assert!(served >= 30, "{served} parts of the vertical that it answers went there");
 }
 
 #[test]
