--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use ashvane::{Effect, Health, Outcome};
 use common::{Stage, budget, ms, settings, vertical};
 use quickcheck::{Gen, QuickCheck};
@@ -131,3 +133,45 @@
     let mut tries = QuickCheck::new().rng(Gen::from_size_and_seed(120, 20)).tests(1500);
     tries.quickcheck(keeps_the_rules as fn(u8, Vec<(u8, u8, u8)>) -> bool);
 }
+
+/// Each gatherer sees a hundredth of the traffic, and all hear of the release in the same moment.
+#[test]
+fn all_gatherers_together_push_no_cold_server_over_and_yet_warm_it() {
+    let mut s = settings(vec![vertical(1.0, 1.0, 0, Effect::Repeatable)]);
+    (s.cells, s.span, s.gatherers) = (240, 3, 100);
+    let (release, step, fall) = (80, ms(100), s.fall_time);
+    let mut sent = vec![Vec::new(); 240];
+    for seed in 0..100 {
+        s.seed = (seed + 1_u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mut stage = Stage::new(s.clone());
+        for turn in 0..160 {
+            if turn == release {
+                (0..200).for_each(|i| stage.list(&format!("s{i}"), Health::Ready, i, Some(step * release)));
+            }
+            if (turn + seed as u32) & 7 == 0 {
+                let first = (turn * 37 + seed as u32 * 53) % 240;
+                let shards: Vec<u32> = (0..10).map(|i| (first + i) % 240).collect();
+                stage.query(1000 * (seed * 1000 + u64::from(turn)), 0, &shards);
+            }
+            stage.pass(step);
+            stage.settle_all(|_, _| Some(Outcome::Completed));
+        }
+        for c in stage.world.borrow().calls.iter().filter(|c| c.sent >= step * release) {
+            sent[c.server[1..].parse::<usize>().expect("a number")].push(c.sent - step * release);
+        }
+    }
+    // The fleet bears what it gets on average: 100 gatherers, 12.5 parts a second each.
+    let warm = 100.0 * 12.5 / 240.0;
+    let limit = |age: Duration| {
+        let share = s.cold_from + (1.0 - s.cold_from) * (age.as_secs_f64() / s.cold_time.as_secs_f64());
+        s.overload_factor * share * warm * fall.as_secs_f64()
+    };
+    for sent in &sent[..200] {
+        let within = |end: Duration| sent.iter().filter(|t| **t + fall > end && **t <= end).count() as f64;
+        let worst = sent.iter().map(|t| within(*t) - limit(*t)).fold(0.0, f64::max);
+        assert!(worst <= 3.0, "{worst} parts over the limit, beside chance: {sent:?}");
+    }
+    let all: usize = sent[..200].iter().map(Vec::len).sum();
+    let mean = all as f64 / 200.0 / 8.0;
+    assert!(mean >= 0.05 * limit(ms(4000)), "cold servers get {mean} a second, too few to warm");
+}
