--- a/tests/design.rs
+++ b/tests/design.rs
@@ -177,9 +177,10 @@
         (id - 899..id - 896).for_each(|part| stage.settle_part(part, Outcome::Completed));
     }
     assert!(stage.count("reject") > 20, "few queries are taken while each needs its whole SLO time");
-    // Nothing is out any more, and no answer has come that could have made the prediction better.
+    // Nothing is out any more, and no answer comes that could make the prediction better.
     stage.pass(ms(4000));
     stage.settle_all(|_, _| Some(Outcome::CalledOff));
+    stage.pass(ms(20_000));
     stage.world.borrow_mut().log.clear();
     stage.query(100, 0, &[0, 1, 2]);
     assert_eq!(stage.count("call"), 3, "{:?}", stage.log().last());
