Homes in the own zone first; a server that turns a part away as full is shunned at once

Told: the refusals are instant and prove that nothing ran; the late servers were the full ones' neighbours, late only after.

--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -91,6 +91,7 @@
     Ok(Settings {
         seed,
         gatherers: root.get("balancers")?.count()?,
+        zone: root.maybe("zone").map(|z| z.count()).transpose()?,
         tick: root.get("quantum_us")?.micros()?,
         verticals: verticals.collect::<Result<_, _>>()?,
         tenant_rates: tenants.iter().map(|t| t.get("quota_per_s")?.number()).collect::<Result<_, _>>()?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,8 +27,12 @@
 const HOME_BOUND: usize = 2;
 /// Times the fleet's usual pace at which a server is shunned: more than healthy servers' answers spread.
 const SHUN: f64 = 2.0;
+/// Times the best zone's pace up to which this gatherer's own zone is preferred.
+const NEAR: f64 = 1.4;
 /// Times by which each failed leaf call raises a pace: two running shun a server, a stray one does not.
 const FAILED_TIMES: f64 = 2.0;
+/// The same where it was turned away as full: once is enough.
+const FULL_TIMES: f64 = 4.0;
 /// A pace worse than this says no more.
 const PACE_MOST: f64 = 16.0;
 /// Time in which what was seen of a server loses half its weight: troubles last some ten seconds.
@@ -83,7 +87,7 @@
     /// Usual seconds of a part, in the first and the second step.
     usual: [f64; 2],
     heard: Duration,
-    /// How long its clients wait, in seconds: the SLO time, or less while many leave before their time.
+    /// Seconds that its clients wait: the SLO time, or less while many leave before their time.
     patience: f64,
 }
 
@@ -156,13 +160,11 @@
     /// Waits are counted from here on at the earliest: before it this gatherer was starved.
     awake: Duration,
     rng: fastrand::Rng,
+    zone: Option<u32>,
     verticals: Vec<Vertical>,
-    /// Each tenant's share, in queries a second over all gatherers, and its queries here.
     tenants: Vec<(f64, Rate)>,
-    /// This gatherer's part of all traffic, were it spread evenly.
     even_share: f64,
     servers: BTreeMap<ServerId, Server>,
-    /// The ids of each cell's servers.
     holders: BTreeMap<u32, Vec<ServerId>>,
     /// Each zone's pace and the fleet's usual one, as last looked at.
     zones: BTreeMap<Option<u32>, f64>,
@@ -188,7 +190,6 @@
     cold_from: f64,
     cold_time: Duration,
     fall_time: Duration,
-    /// Times what it can do that a cold server is sent at the most.
     cold_factor: f64,
     sends: Rate,
     spares: Rate,
@@ -239,6 +240,7 @@
             now,
             awake: now,
             rng: fastrand::Rng::with_seed(settings.seed),
+            zone: settings.zone,
             verticals: verticals.collect(),
             tenants: tenants.collect(),
             even_share: 1.0 / gatherers,
@@ -363,7 +365,7 @@
         self.see_to(number, end);
     }
 
-    /// A part of a query came. With the last one of a step, the step begins.
+    /// A part of a query came; with the last one of a step, the step begins.
     pub fn part_came(&mut self, id: u64, number: u64, shard: u32, weight: f64) {
         self.taken.push(self.now);
         self.taken.retain(|t| *t >= self.now.saturating_sub(self.budget.map_or(Duration::ZERO, |b| b.span)));
@@ -375,7 +377,6 @@
         }
     }
 
-    /// A wake that was asked for.
     pub fn woke(&mut self, token: u64) {
         if token == LIST_TOKEN {
             return self.list_due();
@@ -484,6 +485,7 @@
             }
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
             Outcome::Errored => *s.faults.entry(c.vertical).or_insert(1.0) *= FAILED_TIMES,
+            Outcome::TurnedAway => s.pace = s.pace.max(1.0) * FULL_TIMES,
             _ => s.pace = s.pace.max(1.0) * FAILED_TIMES,
         }
         s.pace = s.pace.min(PACE_MOST);
@@ -510,7 +512,9 @@
         let holders = (0..self.span).filter_map(cell).flatten().map(|id| (id, &self.servers[id]));
         let ready: Vec<_> = holders.filter(|(_, s)| s.health == Health::Ready).collect();
         let mut replicas: Vec<(&ServerId, &Server, bool)> = Vec::new();
-        let home = *ready.iter().max_by_key(|(id, _)| hash(q.key, id))?;
+        let near = |s: &Server| s.zone == self.zone && self.zone_pace(s) <= NEAR * self.usual_pace;
+        let place_at = |id: &ServerId, s: &Server| (near(s), hash(q.key, id));
+        let home = *ready.iter().max_by_key(|(id, s)| place_at(id, s))?;
         // Clearly slower than the fleet's well servers and than the others that hold the shard.
         let best = ready.iter().map(|(_, s)| self.pace(s, q.vertical)).fold(f64::INFINITY, f64::min);
         let best = best.max(self.usual_pace);
@@ -527,7 +531,7 @@
             }
         }
         let fresh = |id: &ServerId| !p.tried.contains(id);
-        let home = replicas.iter().max_by_key(|(id, _, _)| hash(q.key, id))?;
+        let home = replicas.iter().max_by_key(|(id, s, _)| place_at(id, s))?;
         if home.2 && home.1.calls.len() < HOME_BOUND && fresh(home.0) {
             return Some(home.0.clone());
         }
@@ -536,7 +540,7 @@
             (self.now - p.last_sent).as_secs_f64() >= self.expected(q) * f64::from(1 << p.calls.min(8));
         let rank = |(id, s, fit): &&(&ServerId, &Server, bool)| {
             let pace = if *fit { 0 } else { (self.pace(s, q.vertical) * 100.0) as u64 };
-            (!fresh(id), pace, s.calls.len(), std::cmp::Reverse(hash(q.key, id)))
+            (!fresh(id), pace, s.calls.len(), std::cmp::Reverse(place_at(id, s)))
         };
         replicas.iter().min_by_key(rank).map(|r| r.0.clone()).filter(|id| again || fresh(id))
     }
@@ -636,7 +640,7 @@
         let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + v.usual[1] * self.usual_pace;
         let share = if within { 1.0 } else { BEYOND_SHARE };
         let time = (v.patience * share).min(self.end_of(q).saturating_sub(self.now).as_secs_f64());
-        // What was predicted fades, so that no prediction keeps itself true by rejecting all.
+        // What was predicted fades, so that none keeps itself true by rejecting all.
         let slowest = times.iter().copied().fold(predicted * STRETCH, f64::max);
         if weight < v.floor - WEIGHT_SLACK || slowest * self.fresh(v.heard) > time {
             return self.give_up(number);
@@ -708,7 +712,6 @@
         self.queries.get_mut(&number).expect("held").parts[at].spared = true;
     }
 
-    /// Answers a query, gives it up, releases spares, or sees to it later.
     fn review(&mut self, number: u64) {
         let Some(q) = self.queries.get(&number) else { return };
         let v = &self.verticals[q.vertical];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,8 @@
     pub seed: u64,
     /// How many gatherers there are, this one among them.
     pub gatherers: u32,
+    /// The zone that this one is in.
+    pub zone: Option<u32>,
     /// The shortest time between two rounds of events.
     pub tick: Duration,
     pub verticals: Vec<VerticalSettings>,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,7 +52,6 @@
     pub servers: BTreeMap<String, Server>,
     pub wakes: Vec<(Duration, u64)>,
     pub asks: Vec<Duration>,
-    /// What was done, in words, for tests that look at the order of things.
     pub log: Vec<String>,
 }
 
@@ -66,6 +65,7 @@
     Settings {
         seed: 7,
         gatherers: 3,
+        zone: None,
         tick: ms(5),
         verticals,
         tenant_rates: Vec::new(),
@@ -102,14 +102,12 @@
         self.calls.iter().any(|c| c.part == part && c.ended == Some(Outcome::Completed))
     }
 
-    /// Weight of a query's present parts that are in.
     pub fn got(&self, query: u64) -> f64 {
         let step = self.queries[&query].step;
         let of = self.parts.iter().filter(|(_, p)| p.query == query && p.step == step);
         of.filter(|(id, _)| self.is_in(**id)).map(|(_, p)| p.weight).sum()
     }
 
-    /// Why the rules forbid a leaf call for a part now, if they do.
     pub fn forbidden(&self, part: u64) -> Option<&'static str> {
         let p = &self.parts[&part];
         let q = &self.queries[&p.query];
@@ -209,14 +207,12 @@
     }
 }
 
-/// A gatherer and the world that it acts on.
 pub struct Stage {
     pub world: Rc<RefCell<World>>,
     pub gatherer: Gatherer<Seat>,
 }
 
 impl Stage {
-    /// One server to a cell, `s0` and on.
     pub fn new(settings: Settings) -> Stage {
         let world = World {
             settings: settings.clone(),
@@ -264,7 +260,6 @@
         }
     }
 
-    /// Ends the call at this place in the list of all.
     pub fn settle(&mut self, at: usize, outcome: Outcome) {
         let (part, number, server) = {
             let call = &mut self.world.borrow_mut().calls[at];
@@ -287,12 +282,10 @@
         }
     }
 
-    /// Ends all calls of a part that are out.
     pub fn settle_part(&mut self, part: u64, outcome: Outcome) {
         self.settle_all(|_, c| Some(outcome).filter(|_| c.part == part));
     }
 
-    /// Moves time on, through each wake that is due.
     pub fn pass(&mut self, time: Duration) {
         let until = self.world.borrow().now + time;
         loop {
@@ -306,7 +299,6 @@
         }
     }
 
-    /// How many calls there have been.
     pub fn calls(&self) -> usize {
         self.world.borrow().calls.len()
     }
@@ -315,7 +307,6 @@
         self.world.borrow().log.clone()
     }
 
-    /// How many of the actions begin so.
     pub fn count(&self, what: &str) -> usize {
         self.world.borrow().log.iter().filter(|l| l.starts_with(what)).count()
     }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -9,7 +9,6 @@
     settings(vec![vertical(need, need, 0, Effect::Repeatable)])
 }
 
-/// Ends what is out: called off where it was, else completed, but for the calls at silent servers.
 fn settle_but(stage: &mut Stage, silent: &[&str]) {
     stage.settle_all(|_, c| match (c.called_off, silent.contains(&c.server.as_str())) {
         (true, _) => Some(Outcome::CalledOff),
@@ -18,7 +17,6 @@
     });
 }
 
-/// Queries that are answered at once by all but the named servers, to make latencies known.
 fn warm_up(stage: &mut Stage, silent: &[&str]) {
     for id in (10_000..14_000).step_by(100) {
         stage.query(id, 0, &[0, 1, 2, 3, 4, 5]);
@@ -34,9 +32,7 @@
     let mut stage = Stage::new(any(0.6));
     stage.query(100, 0, &[0, 1, 2, 3, 4]);
     assert_eq!(stage.count("call"), 3);
-    for at in 0..3 {
-        stage.settle(at, Outcome::Completed);
-    }
+    (0..3).for_each(|at| stage.settle(at, Outcome::Completed));
     assert_eq!(stage.count("call"), 3, "spares stay held: {:?}", stage.log());
     assert_eq!(stage.log().last().expect("an answer"), "answer 100");
 }
@@ -47,8 +43,7 @@
     warm_up(&mut stage, &[]);
     stage.query(100, 0, &[0, 1, 2, 3, 4]);
     let first = stage.calls() - 3;
-    stage.settle(first, Outcome::Completed);
-    stage.settle(first + 1, Outcome::Completed);
+    (first..first + 2).for_each(|at| stage.settle(at, Outcome::Completed));
     stage.pass(ms(100));
     assert_eq!(stage.count("call 10"), 4, "{:?}", stage.log());
     assert_eq!(stage.count("off"), 0, "the original keeps running");
@@ -119,9 +114,8 @@
     warm_up(&mut stage, &[]);
     stage.query(100, 0, &[0, 1, 2, 3, 4]);
     // Nothing ran for 600 ms: the wakes come late, and the answers right behind them.
-    let now = stage.world.borrow().now + ms(600);
-    stage.world.borrow_mut().now = now;
-    stage.gatherer.at(now);
+    stage.world.borrow_mut().now += ms(600);
+    stage.gatherer.at(stage.world.borrow().now);
     stage.gatherer.woke(100);
     assert_eq!(stage.count("call 10"), 3, "{:?}", stage.log());
 }
@@ -152,6 +146,26 @@
     assert!(long <= 8, "{long} parts still wait at the lost zone");
 }
 
+#[test]
+fn homes_are_in_the_own_zone_and_a_full_server_is_left_at_once() {
+    let mut s = any(1.0);
+    (s.cells, s.span, s.zone) = (30, 3, Some(2));
+    let mut stage = Stage::new(s);
+    for turn in 0..60 {
+        stage.query(1000 + 100 * turn, 0, &[turn as u32 % 30]);
+        stage.pass(ms(60));
+        stage
+            .settle_all(|_, c| Some(if c.server == "s5" { Outcome::TurnedAway } else { Outcome::Completed }));
+        stage.pass(ms(20));
+        stage.settle_all(|_, _| Some(Outcome::Completed));
+    }
+    let w = stage.world.borrow();
+    let far = w.calls.iter().filter(|c| c.server != "s5" && c.number == 0);
+    let far = far.filter(|c| c.server[1..].parse::<u32>().expect("a number") % 3 != 2).count();
+    let full = w.calls.iter().filter(|c| c.server == "s5").count();
+    assert!(far <= 6 && full <= 2, "{far} of 60 left the zone, {full} went to the full server");
+}
+
 #[test]
 fn where_clients_leave_early_only_what_is_done_before_is_taken() {
     let mut stage = Stage::new(any(1.0));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -13,7 +13,6 @@
 const OUTCOMES: [Outcome; 8] =
     [Completed, Errored, TurnedAway, TimedOut, Unreachable, Broken, NeverSent, Completed];
 
-/// One of the things that can happen, picked by three numbers.
 fn step(stage: &mut Stage, next: &mut u64, (kind, a, b): (u8, u8, u8)) {
     let out: Vec<usize> = {
         let w = stage.world.borrow();
@@ -46,7 +45,6 @@
     }
 }
 
-/// What the wire does by itself: calls called off end, and second steps bring their parts.
 fn follow(stage: &mut Stage, next: &mut u64) {
     loop {
         let off = stage.world.borrow().calls.iter().position(|c| c.called_off && c.ended.is_none());
@@ -119,8 +117,7 @@
     }
     // Silence from here on: every query still ends, in time.
     stage.pass(ms(4000));
-    let open = stage.world.borrow().queries.values().filter(|q| q.open).count();
-    open == 0
+    stage.world.borrow().queries.values().all(|q| !q.open)
 }
 
 #[test]
