A query's time grows with its parts; a cap of one spare in four; cold servers get more of their traffic

Told: late parts sat at neighbours of drained servers, which had answered as usual before the drains; the cold ones beside them were idle.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -21,8 +21,8 @@
 const IMPAIRED_SHARE: f64 = 0.34;
 /// How long a server counts as impaired and the tripped breaker halts spares: a query's time.
 const IMPAIRED_WINDOW: Duration = Duration::from_secs(1);
-/// Spares a second for each part sent a second, at least one. The design's start value.
-const CAP_SHARE: f64 = 0.1;
+/// Spares for each part sent, at least one a second: a query of a dozen parts may meet two bad servers.
+const CAP_SHARE: f64 = 0.25;
 /// Parts out at which a part leaves its home. The design's start value.
 const HOME_BOUND: usize = 2;
 /// Times the fleet's usual pace at which a server is shunned: more than healthy servers' answers spread.
@@ -51,8 +51,8 @@
 const TRIAL_TIMES: f64 = 8.0;
 /// Trials for each part sent: of hundreds of shunned servers some would always be due.
 const TRIAL_SHARE: f64 = 0.05;
-/// A whole query's time against its parts' mean: the slowest of some ten, and their spares.
-const STRETCH: f64 = 1.8;
+/// A whole query's time beyond its parts' mean, for each e-fold of parts: the slowest, or its spare.
+const STRETCH: f64 = 0.35;
 /// Weight of the latest query, left or answered, in how long a vertical's clients wait.
 const PATIENCE_WEIGHT: f64 = 0.1;
 /// Share of the SLO time in which queries beyond a tenant's share must be predicted to be done.
@@ -61,8 +61,8 @@
 const SHARE_SLACK: f64 = 1.3;
 /// Seconds over which this gatherer's sends and a tenant's queries a second are averaged.
 const RATE_SPAN: f64 = 10.0;
-/// Room below a cold server's limit: four deviations of chance sends in twos, squared and halved.
-const COLD_CHANCE: f64 = 8.0;
+/// Room below a cold server's limit: over four deviations of chance sends, squared and quartered.
+const COLD_CHANCE: f64 = 5.0;
 /// A wake this much later than asked shows that this gatherer was starved.
 const STARVED: Duration = Duration::from_millis(100);
 /// Least wait before a query with an overdue or unplaced part, or the fleet, is looked at again.
@@ -520,7 +520,7 @@
         let best = best.max(self.usual_pace);
         for (id, s) in ready {
             let share = self.cold_share(s);
-            if share >= 1.0 || (q.luck < share && id == home.0) {
+            if share >= 1.0 || (q.luck < share && id == home.0 && s.calls.is_empty()) {
                 // Beside others' calls only where nothing but this vertical's errors speaks against it.
                 let well = |vertical| self.pace(s, vertical) <= SHUN * best;
                 let tried = |c: &Call| c.vertical == q.vertical || !well(usize::MAX);
@@ -641,7 +641,8 @@
         let share = if within { 1.0 } else { BEYOND_SHARE };
         let time = (v.patience * share).min(self.end_of(q).saturating_sub(self.now).as_secs_f64());
         // What was predicted fades, so that none keeps itself true by rejecting all.
-        let slowest = times.iter().copied().fold(predicted * STRETCH, f64::max);
+        let spread = 1.0 + STRETCH * (times.len().max(1) as f64).ln();
+        let slowest = times.iter().copied().fold(predicted * spread, f64::max);
         if weight < v.floor - WEIGHT_SLACK || slowest * self.fresh(v.heard) > time {
             return self.give_up(number);
         }
@@ -802,7 +803,6 @@
         }
     }
 
-    /// Calls off what is out of a part that went to these servers, where that is allowed.
     fn call_off_part(&mut self, part: u64, tried: &[ServerId]) {
         let calls = tried.iter().filter_map(|id| self.servers.get(id)).flat_map(|s| &s.calls);
         calls.filter(|c| self.call_off && c.part == part).for_each(|c| self.host.call_off(part, c.number));
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -169,7 +169,7 @@
 #[test]
 fn where_clients_leave_early_only_what_is_done_before_is_taken() {
     let mut stage = Stage::new(any(1.0));
-    for turn in 0..60 {
+    for turn in 0..100 {
         let id = 1000 + 100 * turn;
         stage.query(id, 0, &[0, 1, 2]);
         stage.pass(ms(150));
