What was seen of a server lasts 20 s, and trials go by a query's draw in place of timers

Cause: a gatherer meets each server every ten seconds, so evidence that halved in ten brought bad servers back as soon as they were met; timed trials of hundreds of shunned servers were always due.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,8 +35,8 @@
 const FULL_TIMES: f64 = 4.0;
 /// A pace worse than this says no more.
 const PACE_MOST: f64 = 16.0;
-/// Time in which what was seen of a server loses half its weight: troubles last some ten seconds.
-const KEEP: Duration = Duration::from_secs(10);
+/// Time in which what was seen of a server loses half its weight: troubles last some twenty seconds.
+const KEEP: Duration = Duration::from_secs(20);
 /// Servers of a zone that must have been seen before the zone as a whole is judged.
 const SEVERAL: usize = 3;
 /// Weights of the latest answer in a server's pace and in a vertical's usual latency.
@@ -46,11 +46,6 @@
 const OUTLIER: f64 = 1.5;
 /// Usual latency of a part before any answer, as a share of the SLO time.
 const USUAL_AT_FIRST: f64 = 0.1;
-/// Wait from one trial of a shunned server to the next, for each time its pace is beyond the bound.
-const TRIAL_WAIT: Duration = Duration::from_secs(1);
-const TRIAL_TIMES: f64 = 8.0;
-/// Trials for each part sent: of hundreds of shunned servers some would always be due.
-const TRIAL_SHARE: f64 = 0.05;
 /// A whole query's time beyond its parts' mean, for each e-fold of parts: the slowest, or its spare.
 const STRETCH: f64 = 0.35;
 /// Weight of the latest query, left or answered, in how long a vertical's clients wait.
@@ -193,7 +188,6 @@
     cold_factor: f64,
     sends: Rate,
     spares: Rate,
-    trials: Rate,
     halted_until: Duration,
 }
 
@@ -271,7 +265,6 @@
             cold_factor: settings.overload_factor,
             sends: Rate::default(),
             spares: Rate::default(),
-            trials: Rate::default(),
             halted_until: now,
         };
         gatherer.list_due();
@@ -506,8 +499,7 @@
     /// The replica for a part: its home, unless past its bound or shunned; then that with fewest calls out.
     /// A shunned one gets a trial now and then.
     fn place(&self, q: &Query, p: &Part) -> Option<ServerId> {
-        let few = self.trials.at(self.now) < self.sends.at(self.now) * TRIAL_SHARE;
-        let bears = few && p.calls == 0 && self.verticals[q.vertical].effect != Effect::SideEffecting;
+        let bears = p.calls == 0 && self.verticals[q.vertical].effect != Effect::SideEffecting;
         let cell = |j| self.holders.get(&((p.shard % self.cells + j) % self.cells));
         let holders = (0..self.span).filter_map(cell).flatten().map(|id| (id, &self.servers[id]));
         let ready: Vec<_> = holders.filter(|(_, s)| s.health == Health::Ready).collect();
@@ -521,13 +513,9 @@
         for (id, s) in ready {
             let share = self.cold_share(s);
             if share >= 1.0 || (q.luck < share && id == home.0 && s.calls.is_empty()) {
-                // Beside others' calls only where nothing but this vertical's errors speaks against it.
-                let well = |vertical| self.pace(s, vertical) <= SHUN * best;
-                let tried = |c: &Call| c.vertical == q.vertical || !well(usize::MAX);
-                let beyond = (self.pace(s, q.vertical) / (SHUN * best)).min(TRIAL_TIMES);
-                let due = self.now >= s.seen + TRIAL_WAIT.mul_f64(beyond);
-                let trial = bears && due && !s.calls.iter().any(tried);
-                replicas.push((id, s, trial || well(q.vertical)));
+                // The worse it looks, the fewer queries try a shunned one; each draws once for all its parts.
+                let trial = (SHUN * best / self.pace(s, q.vertical)).powi(2);
+                replicas.push((id, s, trial >= 1.0 || (bears && q.luck < trial)));
             }
         }
         let fresh = |id: &ServerId| !p.tried.contains(id);
@@ -568,7 +556,6 @@
         let q = &self.queries[&number];
         let limit = self.end_of(q).saturating_sub(now);
         let expected = self.expected(q);
-        let trial = self.pace(&self.servers[id], q.vertical) > SHUN * self.usual_pace;
         let q = self.queries.get_mut(&number).expect("held");
         let p = &mut q.parts[at];
         if let (Some(b), 1..) = (&self.budget, p.calls) {
@@ -585,9 +572,6 @@
         p.tried.retain(|known| known != id);
         p.tried.push(id.clone());
         let s = self.servers.get_mut(id).expect("placed");
-        if trial {
-            self.trials.count(now);
-        }
         s.calls.push(call);
         self.sends.count(now);
         self.host.call(p.id, id, limit);
