Placement works out each replica once; the fleet is walked once a look; no decision changed

place hashed each replica and worked out its pace up to three times, and callers looked the server up to do it again: it now returns the pace beside the id. A look at the fleet takes each server's silence once. The breaker's count is left out while it is tripped. Times of what was taken are pruned once a query, not once a part. The home bound's comment no longer calls two the design's start value. Tests share one way to read a server's number, and state settings by what differs; assertions as they were.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,7 +23,7 @@
 const IMPAIRED_WINDOW: Duration = Duration::from_secs(1);
 /// Spares for each part sent, at least one a second: a query of a dozen parts may meet two bad servers.
 const CAP_SHARE: f64 = 0.25;
-/// Parts out at which a part leaves its home. The design's start value.
+/// Parts out at which a part leaves its home: servers have few cores, and others send them parts too.
 const HOME_BOUND: usize = 2;
 /// Times the fleet's usual pace at which a server is shunned: more than healthy servers' answers spread.
 const SHUN: f64 = 2.0;
@@ -71,6 +71,8 @@
 const LIST_TOKEN: u64 = 1 << 60;
 
 type ServerId = Rc<str>;
+/// A part's replica: how near to its home it stands, its pace, its id and its record.
+type Replica<'a> = ((bool, u64), f64, &'a ServerId, &'a Server);
 
 struct Vertical {
     need: f64,
@@ -213,19 +215,10 @@
         let verticals = settings.verticals.iter().map(|v| {
             let (need, floor, follow_up, slo) = (v.need, v.floor, v.follow_up, v.slo);
             let (late_utility, effect) = (v.late_utility, v.effect);
-            let first = slo.as_secs_f64() * USUAL_AT_FIRST;
+            let (heard, patience) = (now, slo.as_secs_f64());
+            let first = patience * USUAL_AT_FIRST;
             let usual = [first, first * f64::from(follow_up.min(1))];
-            Vertical {
-                need,
-                floor,
-                follow_up,
-                slo,
-                late_utility,
-                effect,
-                usual,
-                heard: now,
-                patience: slo.as_secs_f64(),
-            }
+            Vertical { need, floor, follow_up, slo, late_utility, effect, usual, heard, patience }
         });
         let gatherers = f64::from(settings.gatherers.max(1));
         let tenants = settings.tenant_rates.iter().map(|share| (share.max(1e-6), Rate::default()));
@@ -292,9 +285,13 @@
     fn look_at_fleet(&mut self) {
         self.looked_at = self.now;
         let mut seen: BTreeMap<Option<u32>, Vec<f64>> = BTreeMap::new();
-        let ready = || self.servers.values().filter(|s| s.health == Health::Ready);
-        for s in ready().filter(|s| self.now < s.seen + KEEP || self.silence(s) > SHUN) {
-            seen.entry(s.zone).or_default().push(s.pace.max(self.silence(s)));
+        self.ready = 0;
+        for s in self.servers.values().filter(|s| s.health == Health::Ready) {
+            self.ready += 1;
+            let silence = self.silence(s);
+            if self.now < s.seen + KEEP || silence > SHUN {
+                seen.entry(s.zone).or_default().push(s.pace.max(silence));
+            }
         }
         let median = |paces: &mut Vec<f64>| {
             paces.sort_unstable_by(f64::total_cmp);
@@ -302,7 +299,6 @@
         };
         self.zones = seen.iter_mut().map(|(zone, paces)| (*zone, median(paces))).collect();
         self.usual_pace = self.zones.values().copied().reduce(f64::min).unwrap_or(1.0).max(1.0);
-        self.ready = ready().count();
     }
 
     /// A list of servers begins, or of changes. Those gone before are forgotten once nothing is out there.
@@ -345,6 +341,7 @@
         &mut self, id: u64, number: u64, vertical: usize, tenant: Option<usize>, key: Option<&str>,
         until: Duration, awaited: usize,
     ) {
+        self.taken.retain(|t| *t >= self.now.saturating_sub(self.budget.map_or(Duration::ZERO, |b| b.span)));
         self.taken.push(self.now);
         if vertical >= self.verticals.len() || self.queries.contains_key(&number) {
             return self.host.abort(id);
@@ -361,7 +358,6 @@
     /// A part of a query came; with the last one of a step, the step begins.
     pub fn part_came(&mut self, id: u64, number: u64, shard: u32, weight: f64) {
         self.taken.push(self.now);
-        self.taken.retain(|t| *t >= self.now.saturating_sub(self.budget.map_or(Duration::ZERO, |b| b.span)));
         let Some(q) = self.queries.get_mut(&number) else { return };
         self.numbers.insert(id, number);
         q.parts.push(Part { id, shard, weight, ..Part::default() });
@@ -496,41 +492,40 @@
         ((COLD_CHANCE + most).sqrt() - COLD_CHANCE.sqrt()).powi(2) / usual
     }
 
-    /// The replica for a part: its home, unless past its bound or shunned; then that with fewest calls out.
-    /// A shunned one gets a trial now and then.
-    fn place(&self, q: &Query, p: &Part) -> Option<ServerId> {
+    /// The replica for a part, with its pace: the home, unless past its bound or shunned; then that with
+    /// fewest calls out. A shunned one gets a trial now and then.
+    fn place(&self, q: &Query, p: &Part) -> Option<(ServerId, f64)> {
         let bears = p.calls == 0 && self.verticals[q.vertical].effect != Effect::SideEffecting;
         let cell = |j| self.holders.get(&((p.shard % self.cells + j) % self.cells));
         let holders = (0..self.span).filter_map(cell).flatten().map(|id| (id, &self.servers[id]));
-        let ready: Vec<_> = holders.filter(|(_, s)| s.health == Health::Ready).collect();
-        let mut replicas: Vec<(&ServerId, &Server, bool)> = Vec::new();
         let near = |s: &Server| s.zone == self.zone && self.zone_pace(s) <= NEAR * self.usual_pace;
-        let place_at = |id: &ServerId, s: &Server| (near(s), hash(q.key, id));
-        let home = *ready.iter().max_by_key(|(id, s)| place_at(id, s))?;
+        let ready = holders.filter(|(_, s)| s.health == Health::Ready);
+        let placed = ready.map(|(id, s)| ((near(s), hash(q.key, id)), self.pace(s, q.vertical), id, s));
+        let mut replicas: Vec<Replica> = placed.collect();
+        let home = replicas.iter().map(|r| r.0).max()?;
         // Clearly slower than the fleet's well servers and than the others that hold the shard.
-        let best = ready.iter().map(|(_, s)| self.pace(s, q.vertical)).fold(f64::INFINITY, f64::min);
-        let best = best.max(self.usual_pace);
-        for (id, s) in ready {
+        let best = replicas.iter().map(|r| r.1).fold(f64::INFINITY, f64::min).max(self.usual_pace);
+        replicas.retain(|(place, _, _, s)| {
             let share = self.cold_share(s);
-            if share >= 1.0 || (q.luck < share && id == home.0 && s.calls.is_empty()) {
-                // The worse it looks, the fewer queries try a shunned one; each draws once for all its parts.
-                let trial = (SHUN * best / self.pace(s, q.vertical)).powi(2);
-                replicas.push((id, s, trial >= 1.0 || (bears && q.luck < trial)));
-            }
-        }
+            share >= 1.0 || (q.luck < share && *place == home && s.calls.is_empty())
+        });
+        // The worse it looks, the fewer queries try a shunned one; each draws once for all its parts.
+        let trial = |pace: f64| (SHUN * best / pace).powi(2);
+        let fit = |pace: f64| trial(pace) >= 1.0 || (bears && q.luck < trial(pace));
         let fresh = |id: &ServerId| !p.tried.contains(id);
-        let home = replicas.iter().max_by_key(|(id, s, _)| place_at(id, s))?;
-        if home.2 && home.1.calls.len() < HOME_BOUND && fresh(home.0) {
-            return Some(home.0.clone());
+        let &(_, pace, id, s) = replicas.iter().max_by_key(|r| r.0)?;
+        if fit(pace) && s.calls.len() < HOME_BOUND && fresh(id) {
+            return Some((id.clone(), pace));
         }
         // A server that has failed this part gets it again only after some usual answers' time.
-        let again =
-            (self.now - p.last_sent).as_secs_f64() >= self.expected(q) * f64::from(1 << p.calls.min(8));
-        let rank = |(id, s, fit): &&(&ServerId, &Server, bool)| {
-            let pace = if *fit { 0 } else { (self.pace(s, q.vertical) * 100.0) as u64 };
-            (!fresh(id), pace, s.calls.len(), std::cmp::Reverse(place_at(id, s)))
+        let wait = self.expected(q) * f64::from(1 << p.calls.min(8));
+        let again = (self.now - p.last_sent).as_secs_f64() >= wait;
+        let rank = |&&(place, pace, id, s): &&Replica| {
+            let slow = if fit(pace) { 0 } else { (pace * 100.0) as u64 };
+            (!fresh(id), slow, s.calls.len(), std::cmp::Reverse(place))
         };
-        replicas.iter().min_by_key(rank).map(|r| r.0.clone()).filter(|id| again || fresh(id))
+        let &(_, pace, id, _) = replicas.iter().min_by_key(rank)?;
+        Some((id.clone(), pace)).filter(|_| again || fresh(id))
     }
 
     /// Whether the rules allow a leaf call for this part now, with so many of its own still waited for.
@@ -599,11 +594,8 @@
         let free = |p: &Part| (p.out == 0 || p.spared) && self.may_call(q, p, p.out);
         let mut waiting = Vec::new();
         for (at, p) in q.parts.iter().enumerate().filter(|(_, p)| free(p)) {
-            let Some(id) = self.place(q, p) else { continue };
-            let expected = self.expected(q);
-            let s = &self.servers[&id];
-            let time = self.pace(s, q.vertical) * expected;
-            waiting.push((p.weight, p.calls, time, at));
+            let Some((_, pace)) = self.place(q, p) else { continue };
+            waiting.push((p.weight, p.calls, pace * self.expected(q), at));
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2)));
         waiting
@@ -621,12 +613,12 @@
                 times.push(time);
             }
         }
-        let predicted = times.iter().sum::<f64>() / times.len().max(1) as f64 + v.usual[1] * self.usual_pace;
+        let n = times.len().max(1) as f64;
+        let predicted = times.iter().sum::<f64>() / n + v.usual[1] * self.usual_pace;
         let share = if within { 1.0 } else { BEYOND_SHARE };
         let time = (v.patience * share).min(self.end_of(q).saturating_sub(self.now).as_secs_f64());
         // What was predicted fades, so that none keeps itself true by rejecting all.
-        let spread = 1.0 + STRETCH * (times.len().max(1) as f64).ln();
-        let slowest = times.iter().copied().fold(predicted * spread, f64::max);
+        let slowest = times.iter().copied().fold(predicted * (1.0 + STRETCH * n.ln()), f64::max);
         if weight < v.floor - WEIGHT_SLACK || slowest * self.fresh(v.heard) > time {
             return self.give_up(number);
         }
@@ -645,7 +637,7 @@
             let q = &self.queries[&number];
             let p = &q.parts[at];
             // What was sent since may have moved it, or used up the budget.
-            let Some(id) = self.place(q, p).filter(|_| self.may_call(q, p, p.out)) else { continue };
+            let Some((id, _)) = self.place(q, p).filter(|_| self.may_call(q, p, p.out)) else { continue };
             self.call_part(number, at, &id);
             missing -= weight;
             if missing <= 0.0 {
@@ -672,22 +664,23 @@
             // Once a call, not at each look, or a few late ones halt spares for good.
             s.impaired = s.impaired.max(Some(due));
         }
+        if self.now < self.halted_until {
+            return;
+        }
         let impaired = self.servers.values().filter(|s| s.impaired > Some(since)).count();
         let used = self.sends.at(self.now).min(self.servers.len() as f64);
-        let most = (used * IMPAIRED_SHARE).max(IMPAIRED_MOST);
-        if impaired as f64 > most && self.now >= self.halted_until {
+        if impaired as f64 > (used * IMPAIRED_SHARE).max(IMPAIRED_MOST) {
             self.halted_until = self.now + IMPAIRED_WINDOW;
+            return;
         }
-        let cap = (self.sends.at(self.now) * CAP_SHARE).max(1.0);
-        if self.now < self.halted_until || self.spares.at(self.now) >= cap {
+        if self.spares.at(self.now) >= (self.sends.at(self.now) * CAP_SHARE).max(1.0) {
             return;
         }
         if !self.may_call(q, p, p.out) && self.waiting(q).is_empty() {
             // No second copy is allowed: the outcome of this one sends the next, if sooner elsewhere.
             let age = (self.now - p.last_sent).as_secs_f64() / self.expected(q);
-            let sooner =
-                |id: &ServerId| self.pace(&self.servers[id], q.vertical) < age && !p.tried.contains(id);
-            if !self.may_call(q, p, 0) || !self.place(q, p).is_some_and(|id| sooner(&id)) {
+            let sooner = |(id, pace): (ServerId, f64)| pace < age && !p.tried.contains(&id);
+            if !self.may_call(q, p, 0) || !self.place(q, p).is_some_and(sooner) {
                 return;
             }
             let (part, tried) = (p.id, p.tried.clone());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,10 @@
     Duration::from_millis(ms)
 }
 
+pub fn number(server: &str) -> usize {
+    server[1..].parse().expect("a number")
+}
+
 pub struct Call {
     pub part: u64,
     pub number: u32,
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use ashvane::{Effect, Outcome, Settings};
-use common::{Stage, ms, settings, vertical};
+use common::{Stage, ms, number, settings, vertical};
 
 fn any(need: f64) -> Settings {
     settings(vec![vertical(need, need, 0, Effect::Repeatable)])
@@ -50,9 +50,7 @@
 
 #[test]
 fn the_tripped_breaker_halts_spares_but_not_those_for_failed_parts() {
-    let mut s = any(0.5);
-    s.span = 1;
-    let mut stage = Stage::new(s);
+    let mut stage = Stage::new(Settings { span: 1, ..any(0.5) });
     warm_up(&mut stage);
     for id in (5000..8000).step_by(100) {
         stage.query(id, 0, &[0, 1, 2, 3, 4, 5]);
@@ -71,9 +69,7 @@
 
 #[test]
 fn parts_of_one_key_share_a_home_until_it_is_past_its_bound() {
-    let mut s = any(1.0);
-    s.span = 6;
-    let mut stage = Stage::new(s);
+    let mut stage = Stage::new(Settings { span: 6, ..any(1.0) });
     stage.query(100, 0, &[0, 1, 2, 3]);
     let w = stage.world.borrow();
     let home = &w.calls[0].server;
@@ -119,10 +115,8 @@
 #[test]
 fn a_way_to_a_zone_that_is_lost_is_blamed_on_the_zone_and_costs_few_parts() {
     // Of 90 servers each answered only now and then: every one beyond the way would be a failure of its own.
-    let mut s = any(1.0);
-    (s.cells, s.span) = (90, 3);
-    let mut stage = Stage::new(s);
-    let lost = |server: &str| server[1..].parse::<u32>().expect("a number") % 3 == 1;
+    let mut stage = Stage::new(Settings { cells: 90, span: 3, ..any(1.0) });
+    let lost = |server: &str| number(server) % 3 == 1;
     let began = 60;
     for turn in 0..140 {
         stage.query(1000 + 100 * turn, 0, &[0, 1, 2, 3, 4].map(|i| (turn as u32 * 17 + i) % 90));
@@ -144,9 +138,7 @@
 
 #[test]
 fn homes_are_in_the_own_zone_and_a_full_server_is_left_at_once() {
-    let mut s = any(1.0);
-    (s.cells, s.span, s.zone) = (30, 3, Some(2));
-    let mut stage = Stage::new(s);
+    let mut stage = Stage::new(Settings { cells: 30, span: 3, zone: Some(2), ..any(1.0) });
     for turn in 0..60 {
         stage.query(1000 + 100 * turn, 0, &[turn as u32 % 30]);
         stage.pass(ms(60));
@@ -157,7 +149,7 @@
     }
     let w = stage.world.borrow();
     let far = w.calls.iter().filter(|c| c.server != "s5" && c.number == 0);
-    let far = far.filter(|c| c.server[1..].parse::<u32>().expect("a number") % 3 != 2).count();
+    let far = far.filter(|c| number(&c.server) % 3 != 2).count();
     let full = w.calls.iter().filter(|c| c.server == "s5").count();
     assert!(far <= 6 && full <= 2, "{far} of 60 left the zone, {full} went to the full server");
 }
@@ -221,9 +213,7 @@
 
 #[test]
 fn the_list_is_asked_for_again_after_a_failure_and_before_the_stated_time() {
-    let mut s = any(1.0);
-    s.ask_within = Some(ms(10_000));
-    let mut stage = Stage::new(s);
+    let mut stage = Stage::new(Settings { ask_within: Some(ms(10_000)), ..any(1.0) });
     assert_eq!(stage.count("watch"), 1);
     stage.gatherer.list_failed();
     stage.pass(ms(1000));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,7 +6,7 @@
 
 use ashvane::Outcome::{self, *};
 use ashvane::{BudgetSettings, Effect, Health};
-use common::{Stage, ms, settings, vertical};
+use common::{Stage, ms, number, settings, vertical};
 use quickcheck::{Gen, QuickCheck};
 
 const OUTCOMES: [Outcome; 8] =
@@ -100,8 +100,7 @@
     ]);
     s.second_copies = switches & 1 > 0;
     s.call_off = switches & 2 > 0;
-    let budget = BudgetSettings { span: ms(2000), least: 1.0, share: 0.1 };
-    s.budget = Some(budget).filter(|_| switches & 4 > 0);
+    s.budget = (switches & 4 > 0).then_some(BudgetSettings { span: ms(2000), least: 1.0, share: 0.1 });
     let mut stage = Stage::new(s);
     let mut next = 1000;
     for happening in steps {
@@ -145,7 +144,7 @@
             stage.settle_all(|_, _| Some(Completed));
         }
         for c in stage.world.borrow().calls.iter().filter(|c| c.sent >= step * release) {
-            sent[c.server[1..].parse::<usize>().expect("a number")].push(c.sent - step * release);
+            sent[number(&c.server)].push(c.sent - step * release);
         }
     }
     // The fleet bears what it gets on average: 100 gatherers, 12.5 parts a second each.
@@ -159,7 +158,6 @@
         let worst = sent.iter().map(|t| within(*t) - limit(*t)).fold(0.0, f64::max);
         assert!(worst <= 3.0, "{worst} parts over the limit, beside chance: {sent:?}");
     }
-    let all: usize = sent[..200].iter().map(Vec::len).sum();
-    let mean = all as f64 / 200.0 / 8.0;
+    let mean = sent[..200].iter().map(Vec::len).sum::<usize>() as f64 / 200.0 / 8.0;
     assert!(mean >= 0.05 * limit(ms(4000)), "cold servers get {mean} a second, too few to warm");
 }
