--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -10,8 +10,6 @@
 
 use ashvane::{Gatherer, Health, Host, Outcome};
 
-mod settings;
-
 /// Lines of the reply so far, shared by all hosts.
 #[derive(Default)]
 struct Reply {
@@ -158,7 +156,8 @@
             "configure" => {
                 let seed: u64 = f.parsed("nonce64")?;
                 let json = f.text("config")?;
-                let settings = settings::read(seed, json)?;
+                let json = serde_json::from_str(json).map_err(|e| format!("settings: {e}"))?;
+                let settings = ashvane_settings::read(seed, &json)?;
                 let host = Wire { instance, reply: self.reply.clone() };
                 self.gatherers.insert(instance, Gatherer::new(host, &settings, self.now));
             }
--- a/crates/drill/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,5 @@
-//! Reads the wire's settings into the project's words. Keys that are not named here are skipped.
+//! Reads the settings that a gatherer is given into the project's words, for the simulator's wire and for
+//! sockets alike. Keys that are not named here are skipped.
 
 use std::time::Duration;
 
@@ -71,9 +72,9 @@
     })
 }
 
-pub fn read(seed: u64, json: &str) -> Result<Settings, String> {
-    let value: Value = serde_json::from_str(json).map_err(|e| format!("settings: {e}"))?;
-    let root = At(&value, "config".into());
+/// What the decisions start from.
+pub fn read(seed: u64, settings: &Value) -> Result<Settings, String> {
+    let root = At(settings, "config".into());
     let (fan, limits, rules) = (root.get("family_info")?, root.get("policy_limits")?, root.get("rules")?);
     let classes = root.get("request_classes")?.rows()?;
     let verticals = classes.iter().enumerate().map(|(i, c)| vertical(c, i, &fan));
@@ -115,3 +116,54 @@
         fall_time: rules.get("fall_us")?.micros()?,
     })
 }
+
+/// What the network code needs beside: the names that stand for numbers on the sockets, and its limits.
+#[derive(Clone, Debug)]
+pub struct Network {
+    pub verticals: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub cells: u32,
+    pub shards: u32,
+    /// The most parts in one frame.
+    pub parts_a_call: usize,
+    /// How many queries and parts may be held.
+    pub most_held: usize,
+    /// How many parts a connection carries at once.
+    pub multiplex: usize,
+    /// A connection that is not up by then counts as unreachable.
+    pub dial_limit: Duration,
+    /// A shard server closes a connection that stands idle for so long.
+    pub idle_limit: Duration,
+    /// The longest that any client waits, over all its tries.
+    pub longest: Duration,
+}
+
+pub fn read_network(settings: &Value) -> Result<Network, String> {
+    let root = At(settings, "config".into());
+    let (fan, limits) = (root.get("family_info")?, root.get("policy_limits")?);
+    let classes = root.get("request_classes")?.rows()?;
+    let name = |row: &At| Ok::<_, String>(row.get("name")?.text()?.to_owned());
+    let names = |rows: Option<Vec<At>>| rows.iter().flatten().map(name).collect::<Result<Vec<_>, _>>();
+    let longest = classes.iter().map(|c| c.get("hard_limit_us")?.micros());
+    let longest: Vec<Duration> = longest.collect::<Result<_, String>>()?;
+    if fan.get("follow_up")?.rows()?.iter().any(|n| n.count() != Ok(0)) {
+        return Err(fan.get("follow_up")?.wrong("all 0: a second step has no form on the sockets"));
+    }
+    let tenants = root.maybe("projects").map(|t| t.rows()).transpose()?;
+    let zones = root.maybe("zones").map(|z| z.rows()).transpose()?.unwrap_or_default();
+    let at_least_one = |at: At| Ok::<_, String>(at.count()?.max(1));
+    Ok(Network {
+        verticals: names(Some(classes))?,
+        tenants: names(tenants)?,
+        zones: zones.iter().map(|z| Ok(z.text()?.to_owned())).collect::<Result<_, String>>()?,
+        cells: at_least_one(fan.get("positions")?)?,
+        shards: fan.get("ranges")?.count()?,
+        parts_a_call: at_least_one(fan.get("parts_a_call")?)? as usize,
+        most_held: limits.get("most_held")?.count()? as usize,
+        multiplex: at_least_one(limits.get("multiplex")?)? as usize,
+        dial_limit: limits.get("dial_timeout_us")?.micros()?,
+        idle_limit: limits.get("keepalive_us")?.micros()?,
+        longest: longest.into_iter().max().unwrap_or_default(),
+    })
+}
