--- /dev/null
+++ b/crates/gatherer/src/routing/admit.rs
@@ -0,0 +1,22 @@
+//! Admit: a held query gets its numbers and is told to the module, part by part.
+
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::Routing;
+use crate::protocol::query::{Query, Reply};
+
+impl Routing {
+    pub(super) fn admit(&mut self, query: Query, arrived: Instant, reply: oneshot::Sender<Reply>) {
+        let id = self.next_id;
+        self.next_id += 1 + query.parts.len() as u64;
+        let until = self.clock.at(arrived + query.wait);
+        let (vertical, tenant, key) = (query.vertical, query.tenant, query.key.as_deref());
+        self.gatherer.query_came(id, id, vertical, tenant, key, until, query.parts.len());
+        for (part, p) in (id + 1..).zip(&query.parts) {
+            self.gatherer.part_came(part, id, p.shard, p.weight);
+        }
+        self.book.take(id, query, reply);
+        self.carry_out();
+    }
+}
--- /dev/null
+++ b/crates/gatherer/src/routing/book.rs
@@ -0,0 +1,133 @@
+//! Book: the queries held, what each part brought, and the one final answer to each client.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::protocol::query::{Query, Reply, WireValue};
+
+struct Part {
+    shard: u32,
+    calls: u32,
+    value: Option<String>,
+}
+
+struct Held {
+    id: String,
+    text: Arc<str>,
+    parts: Vec<Part>,
+    /// The client's end; none once it has its answer.
+    reply: Option<oneshot::Sender<Reply>>,
+    wakes: Vec<Instant>,
+}
+
+/// What has to be forgotten with a query.
+pub(super) struct End {
+    pub(super) wakes: Vec<Instant>,
+    pub(super) parts: std::ops::Range<u64>,
+}
+
+/// What a leaf call of a part carries, and its number.
+pub(super) struct Carried {
+    pub(super) number: u32,
+    pub(super) id: Arc<str>,
+    pub(super) shard: u32,
+    pub(super) text: Arc<str>,
+}
+
+/// Parts are numbered on from their query, so that the last query at or below a part is its own.
+pub(super) struct Book {
+    held: BTreeMap<u64, Held>,
+    ids: BTreeSet<String>,
+    /// Queries and parts held, and the most there may be.
+    count: usize,
+    most: usize,
+}
+
+impl Book {
+    pub(super) fn new(most: usize) -> Self {
+        Book { held: BTreeMap::new(), ids: BTreeSet::new(), count: 0, most }
+    }
+
+    pub(super) fn holds(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
+    pub(super) fn has_room(&self, more: usize) -> bool {
+        self.count + more <= self.most
+    }
+
+    pub(super) fn take(&mut self, query: u64, came: Query, reply: oneshot::Sender<Reply>) {
+        let parts = came.parts.iter().map(|p| Part { shard: p.shard, calls: 0, value: None });
+        let parts: Vec<Part> = parts.collect();
+        self.count += 1 + parts.len();
+        self.ids.insert(came.id.clone());
+        let held = Held { id: came.id, text: came.text, parts, reply: Some(reply), wakes: Vec::new() };
+        self.held.insert(query, held);
+    }
+
+    fn part(&mut self, part: u64) -> Option<(&str, &Arc<str>, &mut Part)> {
+        let (query, held) = self.held.range_mut(..part).next_back()?;
+        let at = (part - query - 1) as usize;
+        Some((&held.id, &held.text, held.parts.get_mut(at)?))
+    }
+
+    pub(super) fn next_call(&mut self, part: u64) -> Option<Carried> {
+        let (id, text, p) = self.part(part)?;
+        p.calls += 1;
+        let id = format!("{id}.{}", p.shard).into();
+        Some(Carried { number: p.calls - 1, id, shard: p.shard, text: text.clone() })
+    }
+
+    pub(super) fn value(&mut self, part: u64, value: String) {
+        if let Some((_, _, p)) = self.part(part) {
+            p.value = Some(value);
+        }
+    }
+
+    pub(super) fn waked(&mut self, query: u64, at: Instant) {
+        if let Some(held) = self.held.get_mut(&query) {
+            held.wakes.push(at);
+        }
+    }
+
+    fn say(&mut self, query: u64, reply: impl FnOnce(&mut Held) -> Reply) {
+        let Some(held) = self.held.get_mut(&query) else { return };
+        if let Some(end) = held.reply.take() {
+            // The client may have left meanwhile; then nobody waits for this.
+            let _ = end.send(reply(held));
+        }
+    }
+
+    pub(super) fn answer(&mut self, query: u64, whole: bool) {
+        self.say(query, |held| {
+            let value = |p: &mut Part| Some(WireValue { shard: p.shard, value: p.value.take()? });
+            Reply::Answered { whole, values: held.parts.iter_mut().filter_map(value).collect() }
+        });
+    }
+
+    pub(super) fn reject(&mut self, query: u64, back_after: Option<Duration>) {
+        self.say(query, |_| Reply::Rejected(back_after));
+    }
+
+    pub(super) fn abort(&mut self, query: u64) {
+        self.say(query, |_| Reply::Aborted);
+    }
+
+    /// The queries whose clients have left.
+    pub(super) fn left(&self) -> Vec<u64> {
+        let gone = |h: &Held| h.reply.as_ref().is_some_and(oneshot::Sender::is_closed);
+        self.held.iter().filter(|(_, h)| gone(h)).map(|(query, _)| *query).collect()
+    }
+
+    pub(super) fn end(&mut self, query: u64) -> Option<End> {
+        let held = self.held.remove(&query)?;
+        self.ids.remove(&held.id);
+        self.count -= 1 + held.parts.len();
+        let parts = query + 1..query + 1 + held.parts.len() as u64;
+        Some(End { wakes: held.wakes, parts })
+    }
+}
--- /dev/null
+++ b/crates/gatherer/src/routing/mod.rs
@@ -0,0 +1,183 @@
+//! The one owner of the decisions. Everything that happens comes here as an event over a bounded
+//! channel and is told to the module turn by turn; what the module wants done is only queued, and
+//! carried out after it. A query passes the stages take in, admit, route, send, relay and book.
+
+mod admit;
+mod book;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use ashvane::{Gatherer, Health, Settings};
+use ashvane_settings::Network;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use crate::protocol::frame::End;
+use crate::protocol::list::List;
+use crate::protocol::query::{Query, Reply};
+use book::Book;
+use route::{Actions, Hand};
+use send::Pool;
+
+/// What can happen to a gatherer.
+pub enum Event {
+    Came {
+        query: Query,
+        arrived: Instant,
+        reply: oneshot::Sender<Reply>,
+    },
+    Listed(List),
+    ListFailed,
+    /// A connection to a shard server is up, has brought an answer, or is no more.
+    Up(u64),
+    Answered {
+        lane: u64,
+        id: String,
+        end: End,
+        value: String,
+    },
+    Down(u64),
+}
+
+/// Unix time, told once at start and then by the monotonic clock: a server's start can be compared
+/// with it, and it never goes back.
+struct Clock {
+    unix: Duration,
+    start: Instant,
+}
+
+impl Clock {
+    fn at(&self, instant: Instant) -> Duration {
+        self.unix + instant.saturating_duration_since(self.start)
+    }
+}
+
+pub struct Routing {
+    gatherer: Gatherer<Hand>,
+    actions: Actions,
+    clock: Clock,
+    tick: Duration,
+    now: Instant,
+    next_id: u64,
+    book: Book,
+    pool: Pool,
+    /// When the module asked to be woken, with its token.
+    wakes: BTreeSet<(Instant, u64)>,
+    asked: Rc<Notify>,
+    ready: Option<oneshot::Sender<()>>,
+}
+
+impl Routing {
+    pub fn new(
+        settings: Settings, network: Network, known: List, most_lanes: usize, events: mpsc::Sender<Event>,
+        asked: Rc<Notify>, ready: oneshot::Sender<()>,
+    ) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = Instant::now();
+        let actions = Actions::default();
+        let gatherer = Gatherer::new(Hand(actions.clone()), &settings, unix);
+        let mut routing = Routing {
+            gatherer,
+            actions,
+            clock: Clock { unix, start: now },
+            tick: settings.tick,
+            now,
+            next_id: 0,
+            book: Book::new(network.most_held),
+            pool: Pool::new(&network, most_lanes, events),
+            wakes: BTreeSet::new(),
+            asked,
+            ready: Some(ready),
+        };
+        routing.carry_out();
+        routing.listed(&known);
+        routing
+    }
+
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<Event>, left: Arc<Notify>) {
+        loop {
+            let mut first = None;
+            let due = self.due();
+            tokio::select! {
+                biased;
+                event = inbox.recv() => match event {
+                    Some(event) => first = Some(event),
+                    None => return,
+                },
+                () = left.notified() => {}
+                () = sleep_until(due) => {}
+            }
+            // Turns are no closer than the settings say: what comes between them shares frames.
+            sleep_until(self.now + self.tick).await;
+            // After a halt the sockets are read before any wait is counted as over.
+            tokio::task::yield_now().await;
+            self.turn(first, &mut inbox);
+        }
+    }
+
+    /// When the next turn is due if nothing happens.
+    fn due(&self) -> Instant {
+        let wake = self.wakes.first().map(|(at, _)| *at);
+        let due = wake.into_iter().chain(self.pool.due()).min();
+        due.unwrap_or_else(|| self.now + Duration::from_secs(1))
+    }
+
+    fn turn(&mut self, first: Option<Event>, inbox: &mut mpsc::Receiver<Event>) {
+        self.now = Instant::now();
+        self.gatherer.at(self.clock.at(self.now));
+        self.pool.at(self.now);
+        let mut left = inbox.max_capacity();
+        let mut next = first.or_else(|| inbox.try_recv().ok());
+        while let Some(event) = next {
+            self.event(event);
+            left -= 1;
+            next = Some(left).filter(|left| *left > 0).and_then(|_| inbox.try_recv().ok());
+        }
+        for id in self.book.left() {
+            self.gatherer.abandoned(id);
+            self.carry_out();
+            self.over(id);
+        }
+        self.pool.overdue();
+        self.relay_ended();
+        while let Some((_, token)) = self.wakes.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.wakes.pop_first();
+            self.gatherer.woke(token);
+            self.carry_out();
+        }
+        self.pool.flush();
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Came { query, arrived, reply } => self.take_in(query, arrived, reply),
+            Event::Listed(list) => self.listed(&list),
+            Event::ListFailed => {
+                self.gatherer.list_failed();
+                self.carry_out();
+            }
+            Event::Up(lane) => self.pool.up(lane),
+            Event::Answered { lane, id, end, value } => self.answered(lane, &id, end, value),
+            Event::Down(lane) => self.pool.down(lane),
+        }
+    }
+
+    fn listed(&mut self, list: &List) {
+        self.gatherer.list_begins(list.all);
+        for s in &list.servers {
+            self.gatherer.server_listed(&s.id, s.health, s.cell, s.zone, s.started);
+        }
+        self.carry_out();
+        self.pool.listed(list);
+        if list.servers.iter().any(|s| s.health == Health::Ready) {
+            self.ready.take().map(|ready| ready.send(()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gatherer/src/routing/send.rs
@@ -0,0 +1,403 @@
+//! Send: leaf calls go out in shared frames, over a bounded number of connections to each shard
+//! server, and every one of them ends exactly once.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashvane::{Health, Outcome};
+use ashvane_settings::Network;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::Event;
+use super::book::Carried;
+use crate::protocol::list::List;
+use crate::transport::lane::{Lane, Queued};
+
+/// Share of the idle time after which a connection is closed here, before the server closes it.
+const IDLE_SHARE: f64 = 0.75;
+/// How often idle connections are looked for, as a share of the same time.
+const IDLE_LOOK_SHARE: f64 = 0.1;
+/// Given-up parts a connection remembers, times what it carries at once: their answers may come late.
+const LATE_TIMES: usize = 16;
+
+/// A part and the number of its leaf call.
+pub(super) type Key = (u64, u32);
+
+pub(super) struct Ended {
+    pub(super) key: Key,
+    pub(super) server: Rc<str>,
+    pub(super) outcome: Outcome,
+}
+
+struct Call {
+    server: Rc<str>,
+    carried: Carried,
+    since: Instant,
+    until: Instant,
+    /// The connection it went out on; none while it waits for one.
+    lane: Option<u64>,
+}
+
+struct Connection {
+    lane: Rc<Lane>,
+    server: Rc<str>,
+    up: bool,
+    /// Takes no more calls, and is closed once none is out.
+    retired: bool,
+    out: BTreeMap<Arc<str>, Key>,
+    /// Parts given up here, and until when they may still take room.
+    late: VecDeque<(Arc<str>, Instant)>,
+    used: Instant,
+    heard: Instant,
+}
+
+struct Server {
+    address: SocketAddr,
+    health: Health,
+    lanes: Vec<u64>,
+    waiting: VecDeque<Key>,
+}
+
+pub(super) struct Pool {
+    servers: BTreeMap<Rc<str>, Server>,
+    connections: BTreeMap<u64, Connection>,
+    calls: BTreeMap<Key, Call>,
+    /// When calls run out of time, or out of patience for a connection.
+    limits: std::collections::BTreeSet<(Instant, Key)>,
+    ended: Vec<Ended>,
+    events: mpsc::Sender<Event>,
+    now: Instant,
+    idle_look: Instant,
+    next_lane: u64,
+    most_lanes: usize,
+    parts_a_call: usize,
+    multiplex: usize,
+    dial_limit: Duration,
+    idle_limit: Duration,
+}
+
+impl Connection {
+    fn room(&self, multiplex: usize, now: Instant) -> usize {
+        let late = self.late.iter().filter(|(_, until)| *until > now).count();
+        multiplex.saturating_sub(self.out.len() + late)
+    }
+
+    /// Whether an answer to this part could be taken for another leaf call's.
+    fn knows(&self, id: &str) -> bool {
+        self.out.contains_key(id) || self.late.iter().any(|(late, _)| &**late == id)
+    }
+
+    fn forget_if_done(&self) {
+        if self.retired && self.out.is_empty() {
+            self.lane.close();
+        }
+    }
+}
+
+impl Pool {
+    pub(super) fn new(network: &Network, most_lanes: usize, events: mpsc::Sender<Event>) -> Self {
+        let now = Instant::now();
+        Pool {
+            servers: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            limits: std::collections::BTreeSet::new(),
+            ended: Vec::new(),
+            events,
+            now,
+            idle_look: now,
+            next_lane: 0,
+            most_lanes,
+            parts_a_call: network.parts_a_call.min(network.multiplex),
+            multiplex: network.multiplex,
+            dial_limit: network.dial_limit,
+            idle_limit: network.idle_limit,
+        }
+    }
+
+    pub(super) fn at(&mut self, now: Instant) {
+        self.now = now;
+    }
+
+    pub(super) fn due(&self) -> Option<Instant> {
+        let limit = self.limits.first().map(|(at, _)| *at);
+        let ended = Some(self.now).filter(|_| !self.ended.is_empty());
+        limit.into_iter().chain(ended).min()
+    }
+
+    pub(super) fn take_ended(&mut self) -> Vec<Ended> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// What a call's time is: to be answered in, or to find a connection in.
+    fn limit(&self, call: &Call) -> Instant {
+        let patience = call.lane.map_or(call.since + self.dial_limit, |_| call.until);
+        patience.min(call.until)
+    }
+
+    pub(super) fn call(&mut self, part: u64, carried: Carried, server: Rc<str>, until: Instant) {
+        let key = (part, carried.number);
+        let known = self.servers.get_mut(&server);
+        let Some(s) = known else {
+            return self.ended.push(Ended { key, server, outcome: Outcome::Unreachable });
+        };
+        s.waiting.push_back(key);
+        let call = Call { server, carried, since: self.now, until, lane: None };
+        self.limits.insert((self.limit(&call), key));
+        self.calls.insert(key, call);
+    }
+
+    fn drop_call(&mut self, key: Key) -> Option<Call> {
+        let call = self.calls.remove(&key)?;
+        self.limits.remove(&(self.limit(&call), key));
+        Some(call)
+    }
+
+    /// Ends a call by itself, with nothing more said to the server.
+    fn end(&mut self, key: Key, outcome: Outcome) {
+        if let Some(call) = self.drop_call(key) {
+            self.ended.push(Ended { key, server: call.server, outcome });
+        }
+    }
+
+    /// Takes a call back that is not begun to be written; false if it is.
+    fn withdraw(&mut self, key: Key, outcome: Outcome) -> bool {
+        let Some(call) = self.calls.get(&key) else { return true };
+        if let Some(lane) = call.lane {
+            let Some(c) = self.connections.get_mut(&lane) else { return true };
+            if !c.lane.withdraw(&call.carried.id) {
+                return false;
+            }
+            c.out.remove(&call.carried.id);
+            c.forget_if_done();
+        } else if let Some(s) = self.servers.get_mut(&call.server) {
+            s.waiting.retain(|waiting| *waiting != key);
+        }
+        self.end(key, outcome);
+        true
+    }
+
+    /// Stops waiting for a call: it is not sent if it is not yet, else the server is told.
+    fn give_up(&mut self, key: Key, unsent: Outcome, sent: Outcome) {
+        if self.withdraw(key, unsent) {
+            return;
+        }
+        let Some(call) = self.calls.get(&key) else { return };
+        let (id, until, since) = (call.carried.id.clone(), call.until, call.since);
+        if let Some(c) = call.lane.and_then(|lane| self.connections.get_mut(&lane)) {
+            c.out.remove(&id);
+            c.lane.give_up(id.clone());
+            c.late.push_back((id, until));
+            if c.late.len() > self.multiplex * LATE_TIMES {
+                c.late.pop_front();
+            }
+            // A connection that stays silent for a whole call is taken for a dead one.
+            c.retired |= sent == Outcome::TimedOut && c.heard <= since;
+            c.forget_if_done();
+        }
+        self.end(key, sent);
+    }
+
+    pub(super) fn call_off(&mut self, key: Key) {
+        self.give_up(key, Outcome::NeverSent, Outcome::CalledOff);
+    }
+
+    /// A part's query has ended: what was not sent is not sent any more.
+    pub(super) fn over(&mut self, part: u64) {
+        let of: Vec<Key> = self.calls.range((part, 0)..=(part, u32::MAX)).map(|(key, _)| *key).collect();
+        for key in of {
+            self.withdraw(key, Outcome::NeverSent);
+        }
+    }
+
+    /// Ends the calls whose time is up, and closes connections that stand idle.
+    pub(super) fn overdue(&mut self) {
+        while let Some((_, key)) = self.limits.first().copied().filter(|(at, _)| *at <= self.now) {
+            let waited = self.calls.get(&key).is_some_and(|c| c.until <= self.now);
+            let unsent = if waited { Outcome::NeverSent } else { Outcome::Unreachable };
+            self.give_up(key, unsent, Outcome::TimedOut);
+        }
+        if self.now < self.idle_look {
+            return;
+        }
+        self.idle_look = self.now + self.idle_limit.mul_f64(IDLE_LOOK_SHARE);
+        for c in self.connections.values_mut() {
+            c.retired |= c.up && self.now >= c.used + self.idle_limit.mul_f64(IDLE_SHARE);
+            c.forget_if_done();
+        }
+    }
+
+    /// The servers as discovery has them. What waits for one that drains is not sent there.
+    pub(super) fn listed(&mut self, list: &List) {
+        if list.all {
+            self.servers.values_mut().for_each(|s| s.health = Health::Gone);
+        }
+        for listed in &list.servers {
+            let fresh = || Server {
+                address: listed.address,
+                health: listed.health,
+                lanes: Vec::new(),
+                waiting: VecDeque::new(),
+            };
+            let s = self.servers.entry(listed.id.as_str().into()).or_insert_with(fresh);
+            if s.address != listed.address {
+                s.address = listed.address;
+                for lane in &s.lanes {
+                    self.connections.get_mut(lane).into_iter().for_each(|c| c.retired = true);
+                }
+            }
+            s.health = listed.health;
+        }
+        let unready = |s: &Server| s.health != Health::Ready;
+        let unready: Vec<Rc<str>> =
+            self.servers.iter().filter(|(_, s)| unready(s)).map(|(id, _)| id.clone()).collect();
+        for id in unready {
+            let of: Vec<Key> =
+                self.calls.iter().filter(|(_, c)| c.server == id).map(|(key, _)| *key).collect();
+            for key in of {
+                self.withdraw(key, Outcome::NeverSent);
+            }
+            let Some(s) = self.servers.get(&id).filter(|s| s.health == Health::Gone) else { continue };
+            for lane in &s.lanes {
+                self.connections.get_mut(lane).into_iter().for_each(|c| c.retired = true);
+            }
+            if s.lanes.is_empty() {
+                self.servers.remove(&id);
+            }
+        }
+        self.connections.values().for_each(Connection::forget_if_done);
+    }
+
+    pub(super) fn up(&mut self, lane: u64) {
+        if let Some(c) = self.connections.get_mut(&lane) {
+            (c.up, c.used, c.heard) = (true, self.now, self.now);
+        }
+    }
+
+    pub(super) fn down(&mut self, lane: u64) {
+        let Some(c) = self.connections.remove(&lane) else { return };
+        for (id, key) in &c.out {
+            let unsent = c.lane.unwritten(id);
+            self.end(*key, if unsent { Outcome::Unreachable } else { Outcome::Broken });
+        }
+        let Some(s) = self.servers.get_mut(&c.server) else { return };
+        s.lanes.retain(|known| *known != lane);
+        if s.health == Health::Gone && s.lanes.is_empty() && s.waiting.is_empty() {
+            self.servers.remove(&c.server);
+            return;
+        }
+        // A dial that failed fails what waits, unless another connection may still serve it.
+        if !c.up && s.lanes.is_empty() {
+            for key in std::mem::take(&mut s.waiting) {
+                self.end(key, Outcome::Unreachable);
+            }
+        }
+    }
+
+    /// Finds the leaf call that an answer belongs to; none if it was given up before.
+    pub(super) fn answered(&mut self, lane: u64, id: &str, outcome: Outcome) -> Option<Ended> {
+        let c = self.connections.get_mut(&lane)?;
+        (c.used, c.heard) = (self.now, self.now);
+        let Some(key) = c.out.remove(id) else {
+            match c.late.iter().position(|(late, _)| &**late == id) {
+                Some(at) => {
+                    c.late.remove(at);
+                }
+                None => {
+                    log::warn!("a server answered {id:?}, which was not asked of it here");
+                    c.retired = true;
+                    c.lane.close();
+                }
+            }
+            return None;
+        };
+        c.forget_if_done();
+        let call = self.drop_call(key)?;
+        Some(Ended { key, server: call.server, outcome })
+    }
+
+    /// Sends what waits: each server's parts in as few frames as the settings allow.
+    pub(super) fn flush(&mut self) {
+        let waiting = |s: &Server| !s.waiting.is_empty();
+        let ids: Vec<Rc<str>> =
+            self.servers.iter().filter(|(_, s)| waiting(s)).map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            while self.send_frame(&id) {}
+            self.dial_for(&id);
+        }
+    }
+
+    fn send_frame(&mut self, id: &Rc<str>) -> bool {
+        let Some(s) = self.servers.get_mut(id) else { return false };
+        // Two leaf calls of one part never share a connection: their answers look the same.
+        let mut keys: Vec<Key> = s.waiting.iter().take(self.parts_a_call).copied().collect();
+        if let Some(again) = (1..keys.len()).find(|at| keys[..*at].iter().any(|key| key.0 == keys[*at].0)) {
+            keys.truncate(again);
+        }
+        let parts: Vec<&Carried> =
+            keys.iter().filter_map(|key| Some(&self.calls.get(key)?.carried)).collect();
+        let (multiplex, now) = (self.multiplex, self.now);
+        let fits = |c: &Connection| {
+            c.up && !c.retired
+                && c.room(multiplex, now) >= parts.len()
+                && !parts.iter().any(|p| c.knows(&p.id))
+        };
+        let lane = s.lanes.iter().copied().find(|lane| self.connections.get(lane).is_some_and(fits));
+        let Some(lane) = lane.filter(|_| !keys.is_empty()) else { return false };
+        s.waiting.drain(..keys.len());
+        let Some(c) = self.connections.get_mut(&lane) else { return false };
+        let mut frame = Vec::with_capacity(keys.len());
+        for key in keys {
+            let Some(call) = self.calls.get_mut(&key) else { continue };
+            let patience = (call.since + self.dial_limit).min(call.until);
+            self.limits.remove(&(patience, key));
+            self.limits.insert((call.until, key));
+            call.lane = Some(lane);
+            let carried = &call.carried;
+            c.out.insert(carried.id.clone(), key);
+            frame.push(Queued {
+                id: carried.id.clone(),
+                shard: carried.shard,
+                text: carried.text.clone(),
+                until: call.until,
+            });
+        }
+        c.used = self.now;
+        c.lane.call(frame);
+        true
+    }
+
+    /// Dials for what still waits. Every server has its even share of the connections.
+    fn dial_for(&mut self, id: &Rc<str>) {
+        let share = (self.most_lanes / self.servers.len().max(1)).max(1);
+        let Some(s) = self.servers.get_mut(id) else { return };
+        let dialling =
+            s.lanes.iter().filter(|lane| self.connections.get(lane).is_some_and(|c| !c.up)).count();
+        if s.waiting.len() <= dialling * self.multiplex || s.lanes.len() >= share {
+            return;
+        }
+        if self.connections.len() >= self.most_lanes {
+            return;
+        }
+        let number = self.next_lane;
+        self.next_lane += 1;
+        let lane = Rc::new(Lane::default());
+        s.lanes.push(number);
+        let connection = Connection {
+            lane: lane.clone(),
+            server: id.clone(),
+            up: false,
+            retired: false,
+            out: BTreeMap::new(),
+            late: VecDeque::new(),
+            used: self.now,
+            heard: self.now,
+        };
+        self.connections.insert(number, connection);
+        tokio::task::spawn_local(lane.run(number, s.address, self.dial_limit, self.events.clone()));
+    }
+}
--- /dev/null
+++ b/crates/gatherer/src/transport/front.rs
@@ -0,0 +1,166 @@
+//! Clients' connections: accepts them up to a bound, reads requests, writes answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashvane_settings::Network;
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::header::CONNECTION;
+use axum::http::{HeaderValue, Response, StatusCode};
+use axum::middleware::{self, Next};
+use axum::routing::{get, post};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+use tokio::time::{Instant, timeout};
+
+use crate::program::Phase;
+use crate::protocol::query::{self, Reply};
+use crate::routing::Event;
+
+/// The longest body that is read, as the protocol states it.
+const BODY_MOST: usize = 64 * 1024;
+/// Time in which a request's head must be whole; also how long a client may keep a connection idle.
+const HEAD_LIMIT: Duration = Duration::from_secs(60);
+/// Time in which a body must be whole once its head is.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept: no descriptor is left, and one takes a while to come back.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What every request's handler needs.
+pub struct Front {
+    pub network: Network,
+    pub events: mpsc::Sender<Event>,
+    /// A handler ended: its client may have left.
+    pub left: Arc<Notify>,
+    pub phase: watch::Receiver<Phase>,
+}
+
+struct Leaving(Arc<Notify>);
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
+async fn health(State(front): State<Arc<Front>>) -> Response<Body> {
+    match *front.phase.borrow() {
+        Phase::Ready => query::say(StatusCode::OK, "ready"),
+        _ => query::say(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+    }
+}
+
+async fn read_body(body: Body) -> Result<bytes::Bytes, (StatusCode, &'static str)> {
+    let read = timeout(BODY_LIMIT, Limited::new(body, BODY_MOST).collect()).await;
+    match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come"))? {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")),
+        Err(_) => Err((StatusCode::BAD_REQUEST, "the body is broken")),
+    }
+}
+
+async fn ask(State(front): State<Arc<Front>>, request: Request) -> Response<Body> {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let read = match query::vertical(path, &front.network) {
+        Ok(_) => read_body(body).await,
+        Err(refusal) => Err(refusal),
+    };
+    let query = read.and_then(|body| query::decode(path, &head.headers, &body, &front.network));
+    let query = match query {
+        Ok(query) => query,
+        Err((status, words)) => return query::say(status, words),
+    };
+    let _leaving = Leaving(front.left.clone());
+    let (reply, answer) = oneshot::channel();
+    if front.events.send(Event::Came { query, arrived, reply }).await.is_err() {
+        return query::say(StatusCode::SERVICE_UNAVAILABLE, "closing");
+    }
+    query::encode(answer.await.unwrap_or(Reply::Aborted))
+}
+
+/// While the program drains, each answer asks its client to connect anew, elsewhere.
+async fn drain(State(front): State<Arc<Front>>, request: Request, next: Next) -> Response<Body> {
+    let mut answer = next.run(request).await;
+    if *front.phase.borrow() >= Phase::Draining {
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+fn router(front: Arc<Front>) -> Router {
+    Router::new()
+        .route("/healthz", get(health))
+        .route("/{vertical}", post(ask))
+        .route("/{vertical}/{*key}", post(ask))
+        .layer(middleware::from_fn_with_state(front.clone(), drain))
+        .with_state(front)
+}
+
+async fn serve(stream: TcpStream, router: Router, mut phase: watch::Receiver<Phase>) {
+    let service = TowerToHyperService::new(router);
+    let mut http = hyper::server::conn::http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
+    let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("client connection: {e}");
+    }
+}
+
+/// The open connections and when the last one came.
+pub struct Door {
+    permits: Arc<Semaphore>,
+    most: usize,
+    last: std::cell::Cell<Instant>,
+}
+
+impl Door {
+    pub fn new(most: usize) -> Self {
+        Door { permits: Arc::new(Semaphore::new(most)), most, last: Instant::now().into() }
+    }
+
+    pub fn open(&self) -> usize {
+        self.most - self.permits.available_permits()
+    }
+
+    pub fn quiet_for(&self) -> Duration {
+        self.last.get().elapsed()
+    }
+
+    /// Accepts while there is room; past it, connections wait.
+    pub async fn run(&self, listener: TcpListener, front: Arc<Front>) {
+        let phase = front.phase.clone();
+        let router = router(front);
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    self.last.set(Instant::now());
+                    let _ = stream.set_nodelay(true);
+                    let Ok(permit) = self.permits.clone().acquire_owned().await else { return };
+                    let serving = serve(stream, router.clone(), phase.clone());
+                    tokio::task::spawn_local(async move {
+                        serving.await;
+                        drop(permit);
+                    });
+                }
+                Err(e) => {
+                    log::warn!("no connection could be accepted: {e}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gatherer/src/transport/lane.rs
@@ -0,0 +1,143 @@
+//! One connection to a shard server: a task that dials, writes what is queued and tells what it reads.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::SinkExt as _;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, timeout};
+use tokio_stream::StreamExt as _;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::protocol::frame::{Fault, Frames, Got, PartCall, Sent};
+use crate::routing::Event;
+
+/// A part that waits for its frame to be written.
+#[derive(Clone)]
+pub struct Queued {
+    pub id: Arc<str>,
+    pub shard: u32,
+    pub text: Arc<str>,
+    pub until: Instant,
+}
+
+enum Out {
+    Call(Vec<Queued>),
+    GiveUp(Arc<str>),
+}
+
+/// What the owner and the task share. The owner bounds what is queued: parts by the connection's
+/// number, each given up once.
+#[derive(Default)]
+pub struct Lane {
+    outbox: RefCell<VecDeque<Out>>,
+    /// The parts of the frame that is being written.
+    writing: RefCell<Vec<Arc<str>>>,
+    news: Notify,
+    closing: Cell<bool>,
+}
+
+impl Lane {
+    pub fn call(&self, parts: Vec<Queued>) {
+        self.outbox.borrow_mut().push_back(Out::Call(parts));
+        self.news.notify_one();
+    }
+
+    pub fn give_up(&self, id: Arc<str>) {
+        self.outbox.borrow_mut().push_back(Out::GiveUp(id));
+        self.news.notify_one();
+    }
+
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.news.notify_one();
+    }
+
+    /// Takes a part back whose frame is not begun; false if it is.
+    pub fn withdraw(&self, id: &str) -> bool {
+        let mut outbox = self.outbox.borrow_mut();
+        for out in outbox.iter_mut() {
+            let Out::Call(parts) = out else { continue };
+            if let Some(at) = parts.iter().position(|p| &*p.id == id) {
+                parts.remove(at);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether the last byte of a part's frame is still to be written.
+    pub fn unwritten(&self, id: &str) -> bool {
+        let queued = |out: &Out| matches!(out, Out::Call(parts) if parts.iter().any(|p| &*p.id == id));
+        self.outbox.borrow().iter().any(queued) || self.writing.borrow().iter().any(|w| &**w == id)
+    }
+
+    fn next(&self) -> Option<Sent> {
+        loop {
+            let parts = match self.outbox.borrow_mut().pop_front()? {
+                Out::GiveUp(id) => return Some(Sent::GiveUp(id)),
+                Out::Call(parts) if parts.is_empty() => continue,
+                Out::Call(parts) => parts,
+            };
+            *self.writing.borrow_mut() = parts.iter().map(|p| p.id.clone()).collect();
+            let now = Instant::now();
+            let wait = |p: &Queued| (p.until.saturating_duration_since(now).as_millis() as u64).max(1);
+            let part = |p: Queued| PartCall { wait_ms: wait(&p), id: p.id, shard: p.shard, text: p.text };
+            return Some(Sent::Call(parts.into_iter().map(part).collect()));
+        }
+    }
+
+    async fn work(
+        &self, number: u64, address: SocketAddr, dial_limit: Duration, events: &mpsc::Sender<Event>,
+    ) -> Result<(), Fault> {
+        let dialled = timeout(dial_limit, TcpStream::connect(address)).await;
+        let stream = dialled.map_err(|_| Fault::Malformed("never came up"))??;
+        stream.set_nodelay(true)?;
+        let _ = events.send(Event::Up(number)).await;
+        let (read, write) = stream.into_split();
+        let (mut read, mut write) = (FramedRead::new(read, Frames), FramedWrite::new(write, Frames));
+        let reading = async {
+            while let Some(got) = read.next().await {
+                match got? {
+                    Got::Answer { id, end, value } => {
+                        let _ = events.send(Event::Answered { lane: number, id, end, value }).await;
+                    }
+                    Got::Unusable(words) => {
+                        log::warn!("{address} could not use a frame: {words:?}");
+                        return Err(Fault::Malformed("frame not usable"));
+                    }
+                }
+            }
+            Ok(())
+        };
+        let writing = async {
+            loop {
+                while let Some(frame) = self.next() {
+                    write.send(frame).await?;
+                    self.writing.borrow_mut().clear();
+                }
+                if self.closing.get() {
+                    return Ok(());
+                }
+                self.news.notified().await;
+            }
+        };
+        tokio::select! { ended = reading => ended, ended = writing => ended }
+    }
+
+    pub async fn run(
+        self: Rc<Self>, number: u64, address: SocketAddr, dial_limit: Duration, events: mpsc::Sender<Event>,
+    ) {
+        match self.work(number, address, dial_limit, &events).await {
+            Ok(()) => {}
+            Err(Fault::Broken(e)) => log::debug!("connection to {address}: {e}"),
+            Err(Fault::Malformed(what)) => log::warn!("connection to {address} dropped: {what}"),
+        }
+        let _ = events.send(Event::Down(number)).await;
+    }
+}
--- /dev/null
+++ b/crates/gatherer/src/transport/mod.rs
@@ -0,0 +1,5 @@
+//! The sockets: clients in front, discovery and shard servers behind. Nothing here decides.
+
+pub mod discovery;
+pub mod front;
+pub mod lane;
