--- a/crates/gatherer/src/protocol/frame.rs
+++ b/crates/gatherer/src/protocol/frame.rs
@@ -5,8 +5,8 @@
 use bytes::{Buf, BufMut, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
-/// The longest frame that is read; a value is far shorter.
-const FRAME_MOST: usize = 256 * 1024;
+/// The longest frame that is read: one value fits into an answer to a client, which holds as much.
+const FRAME_MOST: usize = 64 * 1024;
 
 /// One part within a call.
 #[derive(Clone, Debug, PartialEq)]
@@ -120,3 +120,72 @@
     let (_score, _report) = (words.next()?, words.next()?);
     words.next().is_none().then(|| Got::Answer { id, end, value: value.to_owned() })
 }
+
+#[cfg(test)]
+mod tests {
+    use quickcheck::QuickCheck;
+
+    use super::*;
+
+    fn encoded(frame: Sent) -> BytesMut {
+        let mut bytes = BytesMut::new();
+        Frames.encode(frame, &mut bytes).expect("a short frame");
+        bytes
+    }
+
+    #[test]
+    fn a_call_is_one_frame_of_lines_and_texts() {
+        let part = |id: &str, shard| PartCall { id: id.into(), shard, wait_ms: 240, text: "c41e77d0".into() };
+        let bytes = encoded(Sent::Call(vec![part("9b1f.3", 3), part("9b1f.9", 9)]));
+        assert_eq!(&bytes[..], b"\0\0\0\x33S9b1f.3 3 d=240 8\nc41e77d09b1f.9 9 d=240 8\nc41e77d0");
+        assert_eq!(&encoded(Sent::GiveUp("9b1f.3".into()))[..], b"\0\0\0\x07C9b1f.3");
+    }
+
+    /// However the bytes are cut, the same answers come of them, and none before its last byte.
+    #[test]
+    fn answers_are_the_same_however_their_bytes_arrive() {
+        let rest: [&[u8]; 3] = [b"Ra.0 done 7 -\nv\n1", b"Ra.1 full 7 1,2\n", b"Ra.2 failed - -\n"];
+        let mut all = Vec::new();
+        for rest in rest {
+            all.extend((rest.len() as u32).to_be_bytes());
+            all.extend(rest);
+        }
+        let want = [("a.0", End::Done, "v\n1"), ("a.1", End::Full, ""), ("a.2", End::Failed, "")];
+        let arrive = |cuts: Vec<u8>| {
+            let (mut bytes, mut got, mut at) = (BytesMut::new(), Vec::new(), 0);
+            for cut in cuts.into_iter().map(usize::from).chain([all.len()]) {
+                let next = (at + cut).min(all.len());
+                bytes.extend_from_slice(&all[at..next]);
+                at = next;
+                while let Some(answer) = Frames.decode(&mut bytes).expect("well formed") {
+                    got.push(answer);
+                }
+            }
+            let want = want.iter().map(|(id, end, value)| Got::Answer {
+                id: (*id).into(),
+                end: *end,
+                value: (*value).into(),
+            });
+            got == want.collect::<Vec<_>>()
+        };
+        QuickCheck::new().quickcheck(arrive as fn(Vec<u8>) -> bool);
+    }
+
+    /// Guards against a panic or an endless loop on bytes that no server should send.
+    #[test]
+    fn any_bytes_end_in_frames_a_fault_or_a_wait_for_more() {
+        fn any(bytes: Vec<u8>, length: u8) -> bool {
+            let mut framed = BytesMut::from(&u32::from(length).to_be_bytes()[..]);
+            framed.extend_from_slice(&bytes);
+            for mut bytes in [BytesMut::from(&bytes[..]), framed] {
+                let before = bytes.len();
+                while let Ok(Some(_)) = Frames.decode(&mut bytes) {}
+                if bytes.len() > before {
+                    return false;
+                }
+            }
+            true
+        }
+        QuickCheck::new().quickcheck(any as fn(Vec<u8>, u8) -> bool);
+    }
+}
--- a/crates/gatherer/src/protocol/query.rs
+++ b/crates/gatherer/src/protocol/query.rs
@@ -176,3 +176,27 @@
         Reply::Unheld(status, words) => say(status, words),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_time_to_come_back_is_told_in_seconds_and_a_value_as_it_came() {
+        let reply = encode(Reply::Rejected(Some(Duration::from_millis(250))));
+        assert_eq!(reply.headers()[RETRY_AFTER], "0.250");
+        assert!(!encode(Reply::Rejected(None)).headers().contains_key(RETRY_AFTER));
+        let values = vec![WireValue { shard: 3, value: "5b\"e2".into() }];
+        let text = serde_json::to_string(&WireReply { whole: false, results: &values }).expect("JSON");
+        assert_eq!(text, r#"{"whole":false,"results":[{"partition":3,"value":"5b\"e2"}]}"#);
+    }
+
+    #[test]
+    fn deadlines_are_numbers_with_a_unit() {
+        assert_eq!(deadline("480m"), Some(Duration::from_millis(480)));
+        assert_eq!(deadline("1500.5u"), Some(Duration::from_nanos(1_500_500)));
+        for bad in ["", "m", "480", "480s", "-1m", "0m", "infm", "1e99u", "4 80m", "4000000000m"] {
+            assert_eq!(deadline(bad), None, "{bad:?}");
+        }
+    }
+}
--- a/crates/gatherer/src/transport/lane.rs
+++ b/crates/gatherer/src/transport/lane.rs
@@ -65,6 +65,7 @@
             let Out::Call(parts) = out else { continue };
             if let Some(at) = parts.iter().position(|p| &*p.id == id) {
                 parts.remove(at);
+                outbox.retain(|out| !matches!(out, Out::Call(parts) if parts.is_empty()));
                 return true;
             }
         }
@@ -78,18 +79,15 @@
     }
 
     fn next(&self) -> Option<Sent> {
-        loop {
-            let parts = match self.outbox.borrow_mut().pop_front()? {
-                Out::GiveUp(id) => return Some(Sent::GiveUp(id)),
-                Out::Call(parts) if parts.is_empty() => continue,
-                Out::Call(parts) => parts,
-            };
-            *self.writing.borrow_mut() = parts.iter().map(|p| p.id.clone()).collect();
-            let now = Instant::now();
-            let wait = |p: &Queued| (p.until.saturating_duration_since(now).as_millis() as u64).max(1);
-            let part = |p: Queued| PartCall { wait_ms: wait(&p), id: p.id, shard: p.shard, text: p.text };
-            return Some(Sent::Call(parts.into_iter().map(part).collect()));
-        }
+        let parts = match self.outbox.borrow_mut().pop_front()? {
+            Out::GiveUp(id) => return Some(Sent::GiveUp(id)),
+            Out::Call(parts) => parts,
+        };
+        *self.writing.borrow_mut() = parts.iter().map(|p| p.id.clone()).collect();
+        let now = Instant::now();
+        let wait = |p: &Queued| (p.until.saturating_duration_since(now).as_millis() as u64).max(1);
+        let part = |p: Queued| PartCall { wait_ms: wait(&p), id: p.id, shard: p.shard, text: p.text };
+        Some(Sent::Call(parts.into_iter().map(part).collect()))
     }
 
     async fn work(
--- /dev/null
+++ b/crates/gatherer/tests/clients.rs
@@ -0,0 +1,157 @@
+//! What clients may do: well, badly, too much, or leave.
+
+mod common;
+
+use common::{Client, Manner, World, ms, post, request, until};
+use serde_json::json;
+use tokio::time::Instant;
+
+fn body(parts: serde_json::Value) -> String {
+    json!({"targets": parts, "query": "c41e77d0"}).to_string()
+}
+
+#[tokio::test]
+async fn bad_requests_are_refused_with_a_reason_and_reach_no_server() {
+    let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    let id = ("Req-Id", "bad");
+    let owner = ("Req-Owner", "acme");
+    let wait = ("Req-Deadline", "900m");
+    let good = body(json!([{"partition": 0, "share": 1.0}]));
+    let with = |parts| post("near", &[id, owner, wait], &body(parts));
+    let cases: Vec<(u16, String)> = vec![
+        (404, post("nowhere", &[id, owner, wait], &good)),
+        (404, "POST /near/a%zz HTTP/1.1\r\nHost: api\r\nContent-Length: 0\r\n\r\n".replace("near", "x")),
+        (404, "GET / HTTP/1.1\r\nHost: api\r\n\r\n".into()),
+        (405, "GET /near/k1 HTTP/1.1\r\nHost: api\r\n\r\n".into()),
+        (405, "POST /healthz HTTP/1.1\r\nHost: api\r\nContent-Length: 0\r\n\r\n".into()),
+        (413, post("near", &[id, owner, wait], &"x".repeat(65 * 1024))),
+        (400, post("near", &[owner, wait], &good)),
+        (400, post("near", &[("Req-Id", "a b"), owner, wait], &good)),
+        (400, post("near", &[("Req-Id", ""), owner, wait], &good)),
+        (400, post("near", &[id, wait], &good)),
+        (400, post("near", &[id, ("Req-Owner", "nobody"), wait], &good)),
+        (400, post("near", &[id, owner], &good)),
+        (400, post("near", &[id, owner, ("Req-Deadline", "900")], &good)),
+        (400, post("near", &[id, owner, ("Req-Deadline", "-5m")], &good)),
+        (400, post("near", &[id, owner, ("Req-Deadline", "NaNm")], &good)),
+        (400, post("near", &[id, owner, ("Req-Deadline", "1e300m")], &good)),
+        (400, post("near", &[id, owner, wait], "{")),
+        (400, post("near", &[id, owner, wait], "\u{7f}\u{0}[[[[")),
+        (400, with(json!([]))),
+        (400, with(json!([{"partition": 0, "share": 0.5}, {"partition": 0, "share": 0.5}]))),
+        (400, with(json!([{"partition": 16, "share": 1.0}]))),
+        (400, with(json!([{"partition": -1, "share": 1.0}]))),
+        (400, with(json!([{"partition": 0, "share": -1.0}, {"partition": 1, "share": 2.0}]))),
+        (400, with(json!([{"partition": 0, "share": 0.1}]))),
+        (400, post("near", &[id, owner, wait], &good.replace("1.0", "1e999"))),
+    ];
+    for (status, case) in cases {
+        let reply = world.client().await.ask(&case).await;
+        assert_eq!(reply.status, status, "{case}");
+        assert!(status == 405 || status == 404 || !reply.body.is_empty(), "a reason for {case}");
+    }
+    assert_eq!(world.parts(), 0);
+    assert_eq!(world.client().await.ask(&request("near", "good", 4, "900m")).await.status, 200);
+}
+
+#[tokio::test]
+async fn chunked_bodies_microseconds_and_keep_alive_are_understood() {
+    let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    let mut client = world.client().await;
+    let text = body(json!([{"partition": 3, "share": 0.5, "est_us": 9000}, {"partition": 9, "share": 0.5}]));
+    let (first, second) = text.split_at(20);
+    let head = "POST /book/7f3a HTTP/1.1\r\nHost: api\r\nreq-id: chunked\r\nreq-owner: acme\r\n\
+                Req-Deadline: 900000.5u\r\nReq-Retry: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    client.send(head).await;
+    for chunk in [first, second, ""] {
+        client.send(&format!("{:x}\r\n{chunk}\r\n", chunk.len())).await;
+        tokio::time::sleep(ms(10)).await;
+    }
+    let reply = client.next().await.expect("an answer");
+    assert_eq!((reply.status, reply.values("chunked")), (200, 2));
+    let reply = client.ask(&request("near", "next", 4, "900m")).await;
+    assert_eq!((reply.status, reply.values("next")), (200, 3));
+}
+
+#[tokio::test]
+async fn an_id_that_is_held_is_refused_and_may_come_again_later() {
+    let world = World::start(&[Manner::Late(ms(200)); 2]).await.ready().await;
+    let mut first = world.client().await;
+    first.send(&request("near", "twice", 4, "1900m")).await;
+    until("the first is sent", || world.parts() > 0).await;
+    assert_eq!(world.client().await.ask(&request("near", "twice", 4, "1900m")).await.status, 409);
+    assert_eq!(first.next().await.expect("an answer").status, 200);
+    assert_eq!(first.ask(&request("near", "twice", 4, "1900m")).await.status, 200);
+}
+
+/// Guards against work that goes on for a client that has left.
+#[tokio::test]
+async fn a_client_that_leaves_ends_its_query_and_its_parts_are_given_up() {
+    let world = World::start(&[Manner::Silent; 2]).await.ready().await;
+    let mut client = world.client().await;
+    client.send(&request("book", "leaves", 4, "1900m")).await;
+    until("its parts are sent", || world.parts() == 4).await;
+    let left = Instant::now();
+    drop(client);
+    let given_up = || world.shards.iter().map(|s| s.seen('C').len()).sum::<usize>();
+    until("its parts are given up", || given_up() == 4).await;
+    assert!(left.elapsed() < ms(500), "long before its time is over");
+    world.shards.iter().for_each(|s| s.behave(Manner::Answer));
+    assert_eq!(world.client().await.ask(&request("near", "leaves", 4, "900m")).await.status, 200);
+}
+
+#[tokio::test]
+async fn past_what_may_be_held_queries_are_sent_back_at_once() {
+    let world = World::start(&[Manner::Silent; 2]).await.ready().await;
+    let mut clients: Vec<Client> = Vec::new();
+    for number in 0..30 {
+        let mut client = world.client().await;
+        client.send(&request("near", &format!("held-{number}"), 4, "700m")).await;
+        clients.push(client);
+    }
+    let came = Instant::now();
+    let (mut early, mut all) = (0, 0);
+    for client in &mut clients {
+        let reply = client.next().await.expect("an answer");
+        assert!(reply.status == 503, "nothing came, and nothing was promised: {reply:?}");
+        all += 1;
+        early += usize::from(came.elapsed() < ms(300));
+    }
+    assert_eq!(all, 30);
+    assert!(came.elapsed() < ms(700 + 200), "each in its time");
+    assert!(early <= 30, "{early}");
+    assert!(world.parts() <= 20 * 3 * 4, "twenty queries of five may be held");
+}
+
+/// Guards against a client that reads nothing: others are served, and the program ends when told.
+#[tokio::test]
+async fn slow_and_idle_clients_hold_nobody_up() {
+    let mut world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    let mut halves = Vec::new();
+    for _ in 0..20 {
+        let mut client = world.client().await;
+        client.send("POST /near/k1 HTTP/1.1\r\nHost: api\r\nReq-Id: ha").await;
+        halves.push(client);
+    }
+    let reply = world.client().await.ask(&request("near", "whole", 4, "900m")).await;
+    assert_eq!((reply.status, reply.values("whole")), (200, 3));
+    world.signal("TERM");
+    assert!(world.exit().await.success());
+}
+
+/// Guards against a spin or an exit where descriptors run out: clients wait until some leave.
+#[tokio::test]
+async fn more_clients_than_descriptors_wait_and_are_served_once_others_leave() {
+    let world = World::with(&[Manner::Answer; 2], |config| config["limits"]["sockets"] = 80.into());
+    let world = world.await.ready().await;
+    let mut idle = Vec::new();
+    for _ in 0..40 {
+        idle.push(world.client().await);
+    }
+    let mut waiting = world.client().await;
+    waiting.send(&request("near", "waits", 4, "5000m")).await;
+    tokio::time::sleep(ms(100)).await;
+    assert!(world.descriptors() <= 80);
+    drop(idle);
+    assert_eq!(waiting.next().await.expect("an answer").status, 200);
+}
--- /dev/null
+++ b/crates/gatherer/tests/common/mod.rs
@@ -0,0 +1,481 @@
+//! Starts the built program and stands in for what it speaks to: discovery, shard servers, clients.
+#![allow(dead_code)]
+
+use std::io::Read as _;
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+pub const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// How long a test waits for anything.
+pub const PATIENCE: Duration = ms(10_000);
+
+/// Looks again and again until it is so; fails the test if it never is.
+pub async fn until(what: &str, so: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !so() {
+        assert!(Instant::now() < end, "{what}: not within {PATIENCE:?}");
+        sleep(ms(5)).await;
+    }
+}
+
+/// What a shard server does with a part.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Manner {
+    Answer,
+    /// Answers so late.
+    Late(Duration),
+    Silent,
+    Failed,
+    Full,
+    /// Breaks the connection once the frame is in.
+    Cut,
+    /// Reads nothing, and breaks the connection after so long.
+    Unread(Duration),
+    /// Sends these bytes in place of an answer.
+    Bytes(Vec<u8>),
+}
+
+/// A frame that a shard server got.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub connection: usize,
+    pub letter: char,
+    /// The parts' ids, or the one given up.
+    pub ids: Vec<String>,
+    pub text: String,
+    pub at: Instant,
+}
+
+#[derive(Clone)]
+pub struct Shard {
+    pub address: SocketAddr,
+    pub manner: Arc<Mutex<Manner>>,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    pub connections: Arc<AtomicU32>,
+    pub closed: Arc<AtomicU32>,
+}
+
+/// The value that a stand-in gives a part.
+pub fn value_of(id: &str) -> String {
+    format!("value-of-{id}")
+}
+
+pub fn frame(letter: char, rest: &str) -> Vec<u8> {
+    let mut bytes = (rest.len() as u32 + 1).to_be_bytes().to_vec();
+    bytes.push(letter as u8);
+    bytes.extend_from_slice(rest.as_bytes());
+    bytes
+}
+
+impl Shard {
+    pub async fn start(manner: Manner) -> Shard {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        if matches!(manner, Manner::Unread(_)) {
+            socket.set_recv_buffer_size(4096).expect("a small buffer");
+        }
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+        let listener = socket.listen(64).expect("a listener");
+        let shard = Shard {
+            address: listener.local_addr().expect("its address"),
+            manner: Arc::new(Mutex::new(manner)),
+            seen: Arc::default(),
+            connections: Arc::default(),
+            closed: Arc::default(),
+        };
+        tokio::spawn(shard.clone().listen(listener));
+        shard
+    }
+
+    async fn listen(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = self.connections.fetch_add(1, Ordering::SeqCst) as usize;
+            let shard = self.clone();
+            tokio::spawn(async move {
+                let _ = shard.serve(stream, number).await;
+                shard.closed.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    }
+
+    fn manner(&self) -> Manner {
+        self.manner.lock().expect("a manner").clone()
+    }
+
+    pub fn behave(&self, manner: Manner) {
+        *self.manner.lock().expect("a manner") = manner;
+    }
+
+    pub fn seen(&self, letter: char) -> Vec<Seen> {
+        self.seen.lock().expect("frames").iter().filter(|s| s.letter == letter).cloned().collect()
+    }
+
+    /// How many parts it was asked for.
+    pub fn parts(&self) -> usize {
+        self.seen('S').iter().map(|s| s.ids.len()).sum()
+    }
+
+    async fn serve(&self, mut stream: TcpStream, connection: usize) -> std::io::Result<()> {
+        if let Manner::Unread(wait) = self.manner() {
+            sleep(wait).await;
+            stream.set_zero_linger()?;
+            return Ok(());
+        }
+        let (answers, mut queue) = tokio::sync::mpsc::unbounded_channel::<Vec<u8>>();
+        let (mut read, mut write) = stream.split();
+        let reading = async {
+            loop {
+                let length = read.read_u32().await? as usize;
+                let mut body = vec![0; length];
+                read.read_exact(&mut body).await?;
+                let (letter, rest) = (body[0] as char, String::from_utf8_lossy(&body[1..]).into_owned());
+                let (mut ids, mut text, mut left) = (Vec::new(), String::new(), rest.as_str());
+                while letter == 'S' && !left.is_empty() {
+                    let (line, more) = left.split_once('\n').expect("a line");
+                    let words: Vec<&str> = line.split(' ').collect();
+                    assert!(words.len() == 4 && words[2].starts_with("d="), "line {line:?}");
+                    let length: usize = words[3].parse().expect("a length");
+                    ids.push(words[0].to_owned());
+                    text = more[..length].to_owned();
+                    left = &more[length..];
+                }
+                if letter == 'C' {
+                    ids.push(rest.clone());
+                }
+                let manner = self.manner();
+                let at = Instant::now();
+                let seen = Seen { connection, letter, ids: ids.clone(), text, at };
+                self.seen.lock().expect("frames").push(seen);
+                if letter != 'S' {
+                    continue;
+                }
+                for id in ids {
+                    let answer = |end: &str, value: &str| frame('R', &format!("{id} {end} 7 -\n{value}"));
+                    let (wait, bytes) = match &manner {
+                        Manner::Answer => (Duration::ZERO, answer("done", &value_of(&id))),
+                        Manner::Late(wait) => (*wait, answer("done", &value_of(&id))),
+                        Manner::Failed => (Duration::ZERO, answer("failed", "")),
+                        Manner::Full => (Duration::ZERO, answer("full", "")),
+                        Manner::Bytes(bytes) => (Duration::ZERO, bytes.clone()),
+                        Manner::Silent => continue,
+                        Manner::Cut | Manner::Unread(_) => return Ok(()),
+                    };
+                    let answers = answers.clone();
+                    tokio::spawn(async move {
+                        sleep(wait).await;
+                        let _ = answers.send(bytes);
+                    });
+                }
+            }
+        };
+        let writing = async {
+            while let Some(bytes) = queue.recv().await {
+                write.write_all(&bytes).await?;
+            }
+            Ok(())
+        };
+        tokio::select! { ended = reading => ended, ended = writing => ended }
+    }
+}
+
+/// Discovery: a list that tests change, and a manner in which it answers.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Arc<Mutex<(u64, bool, Vec<Value>)>>,
+    /// Answers with this in place of the list, or not at all if it is empty.
+    pub instead: Arc<Mutex<Option<String>>>,
+    pub calls: Arc<AtomicU32>,
+}
+
+#[derive(serde::Deserialize)]
+struct Watch {
+    after: Option<u64>,
+    wait_ms: Option<u64>,
+}
+
+async fn watched(State(discovery): State<Discovery>, Query(watch): Query<Watch>) -> (StatusCode, String) {
+    discovery.calls.fetch_add(1, Ordering::SeqCst);
+    let end = Instant::now() + ms(watch.wait_ms.unwrap_or(0));
+    loop {
+        let instead = discovery.instead.lock().expect("words").clone();
+        match instead {
+            Some(words) if words.is_empty() => std::future::pending::<()>().await,
+            Some(words) => return (StatusCode::OK, words),
+            None => {}
+        }
+        let (revision, complete, members) = discovery.list.lock().expect("a list").clone();
+        if watch.after.is_none_or(|after| revision > after) {
+            return (StatusCode::OK, list(revision, complete, members).to_string());
+        }
+        if Instant::now() >= end {
+            return (StatusCode::OK, list(revision, false, Vec::new()).to_string());
+        }
+        sleep(ms(5)).await;
+    }
+}
+
+pub fn list(revision: u64, complete: bool, members: Vec<Value>) -> Value {
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+impl Discovery {
+    async fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("its address");
+        let list = Arc::new(Mutex::new((1, true, Vec::new())));
+        let discovery = Discovery { address, list, instead: Arc::default(), calls: Arc::default() };
+        let router = axum::Router::new().route("/v1/servers", axum::routing::get(watched));
+        let router = router.with_state(discovery.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        discovery
+    }
+
+    /// Tells a change, or a whole list.
+    pub fn tell(&self, complete: bool, members: Vec<Value>) {
+        let mut list = self.list.lock().expect("a list");
+        *list = (list.0 + 1, complete, members);
+    }
+}
+
+pub fn member(name: &str, address: SocketAddr, cell: u32, phase: &str, up_since_ms: u64) -> Value {
+    json!({"id": name, "host_port": address.to_string(), "locality": "a", "flavor": "m", "cell": cell,
+           "phase": phase, "size": 1.0, "up_since_ms": up_since_ms})
+}
+
+fn vertical(name: &str, effect: &str) -> Value {
+    json!({"name": name, "effect": effect, "aim_us": 1_000_000, "hard_limit_us": 2_000_000,
+           "late_share": 0.1, "gain": 1.0, "streamed": false, "window_us": 5_000_000})
+}
+
+/// Two cells, each shard in both; `near` needs three quarters, `book` must not run twice.
+pub fn settings() -> Value {
+    json!({
+        "balancers": 1, "zone": 0, "zones": ["a", "b"], "quantum_us": 5000, "membership_mode": "pushed",
+        "request_classes": [vertical("near", "retryable"), vertical("book", "fragile")],
+        "projects": [{"name": "acme", "quota_per_s": 1000.0, "share": 1.0}],
+        "family_info": {"class_need": [0.75, 1.0], "floor_by_class": [0.25, 1.0], "follow_up": [0, 0],
+            "parts_a_call": 4, "positions": 2, "ranges": 16, "span": 2},
+        "policy_limits": {"dial_timeout_us": 250_000, "keepalive_us": 2_000_000, "max_attempts": 3,
+            "max_retry_after_us": 500_000, "may_cancel": true, "most_held": 100, "multiplex": 8,
+            "retry_after": true, "second_copies": true},
+        "rules": {"cold_from": 0.2, "cold_us": 1_000_000, "drain_grace_us": 250_000, "fall_us": 1_000_000,
+            "overload_factor": 2.0}
+    })
+}
+
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).expect("JSON")
+    }
+
+    /// How many parts it holds; each must be what a shard server gave for this very query.
+    pub fn values(&self, id: &str) -> usize {
+        let body = self.json();
+        let results = body["results"].as_array().expect("results");
+        for r in results {
+            assert_eq!(r["value"], value_of(&format!("{id}.{}", r["partition"])));
+        }
+        results.len()
+    }
+}
+
+/// A client's connection.
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub async fn send(&mut self, request: &str) {
+        self.0.write_all(request.as_bytes()).await.expect("written");
+    }
+
+    /// The next answer; none if the connection ends before one.
+    pub async fn next(&mut self) -> Option<Reply> {
+        let mut bytes = Vec::new();
+        let head = loop {
+            if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+                break at + 4;
+            }
+            let got = timeout(PATIENCE, self.0.read_buf(&mut bytes)).await.expect("an answer in time");
+            if got.unwrap_or(0) == 0 {
+                return None;
+            }
+        };
+        let text = String::from_utf8(bytes[..head].to_vec()).expect("text").to_lowercase();
+        let length = text.lines().find_map(|l| l.strip_prefix("content-length: ")).expect("a length");
+        let length: usize = length.parse().expect("a number");
+        while bytes.len() < head + length {
+            self.0.read_buf(&mut bytes).await.expect("the rest");
+        }
+        let status = text[9..12].parse().expect("a status");
+        Some(Reply { status, head: text, body: String::from_utf8(bytes[head..].to_vec()).expect("text") })
+    }
+
+    pub async fn ask(&mut self, request: &str) -> Reply {
+        self.send(request).await;
+        self.next().await.expect("an answer")
+    }
+}
+
+/// A request for so many parts of equal weight.
+pub fn request(vertical: &str, id: &str, parts: u32, deadline: &str) -> String {
+    let part = |shard| json!({"partition": shard, "share": 1.0 / f64::from(parts)});
+    let body = json!({"targets": (0..parts).map(part).collect::<Vec<_>>(), "query": "c41e77d0"});
+    post(vertical, &[("Req-Id", id), ("Req-Owner", "acme"), ("Req-Deadline", deadline)], &body.to_string())
+}
+
+pub fn post(vertical: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let headers: String = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    let length = body.len();
+    format!("POST /{vertical}/k1 HTTP/1.1\r\nHost: api\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+}
+
+/// The program, with its surroundings.
+pub struct World {
+    pub shards: Vec<Shard>,
+    pub discovery: Discovery,
+    pub listen: SocketAddr,
+    child: Child,
+    folder: std::path::PathBuf,
+}
+
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+impl World {
+    pub async fn start(manners: &[Manner]) -> World {
+        World::with(manners, |_| {}).await
+    }
+
+    /// One shard server for each manner, in alternating cells. `change` may alter the configuration.
+    pub async fn with(manners: &[Manner], change: impl FnOnce(&mut Value)) -> World {
+        let mut shards = Vec::new();
+        for manner in manners {
+            shards.push(Shard::start(manner.clone()).await);
+        }
+        let discovery = Discovery::start().await;
+        let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listen = probe.local_addr().expect("its address");
+        drop(probe);
+        let members = shards.iter().enumerate();
+        let members = members.map(|(i, s)| member(&format!("s-{i}"), s.address, i as u32 % 2, "ready", 0));
+        let mut config = json!({
+            "name": "n0", "listen": listen.to_string(), "discovery": discovery.address.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": list(1, true, members.collect()), "settings": settings(),
+        });
+        change(&mut config);
+        let number = WORLDS.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("ashvane-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("a configuration");
+        let child = program().args(["serve", "--log", "error"]).env("GW_CONFIG", folder.join("config.json"));
+        let child = child.spawn().expect("the program");
+        let world = World { shards, discovery, listen, child, folder };
+        world.listening().await;
+        world
+    }
+
+    async fn listening(&self) {
+        let end = Instant::now() + PATIENCE;
+        while TcpStream::connect(self.listen).await.is_err() {
+            assert!(Instant::now() < end, "it never listens");
+            sleep(ms(5)).await;
+        }
+    }
+
+    pub async fn client(&self) -> Client {
+        Client(TcpStream::connect(self.listen).await.expect("a connection"))
+    }
+
+    pub async fn health(&self) -> u16 {
+        self.client().await.ask("GET /healthz HTTP/1.1\r\nHost: api\r\n\r\n").await.status
+    }
+
+    pub async fn ready(self) -> World {
+        let end = Instant::now() + PATIENCE;
+        while self.health().await != 200 {
+            assert!(Instant::now() < end, "it is never ready");
+            sleep(ms(5)).await;
+        }
+        self
+    }
+
+    pub fn shard_of(&self, letter: char) -> Vec<&Shard> {
+        self.shards.iter().filter(|s| !s.seen(letter).is_empty()).collect()
+    }
+
+    pub fn parts(&self) -> usize {
+        self.shards.iter().map(Shard::parts).sum()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let line = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &line]).status().expect("sh").success());
+    }
+
+    pub async fn exit(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its state") {
+                return status;
+            }
+            assert!(Instant::now() < end, "it never ends");
+            sleep(ms(5)).await;
+        }
+    }
+
+    pub fn config(&self) -> String {
+        self.folder.join("config.json").to_str().expect("text").to_owned()
+    }
+
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ashvane"));
+    command.stdin(Stdio::null()).env_remove("GW_CONFIG").env_remove("GW_LISTEN");
+    command.env_remove("GW_NAME").env_remove("GW_DISCOVERY");
+    command
+}
+
+/// Runs the program to its end: its status, and all it wrote to standard output and error.
+pub fn run(arguments: &[&str], config: Option<&str>) -> (bool, String, String) {
+    let mut command = program();
+    command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
+    if let Some(path) = config {
+        command.env("GW_CONFIG", path);
+    }
+    let mut child = command.spawn().expect("the program");
+    let (mut out, mut err) = (String::new(), String::new());
+    child.stdout.take().expect("a pipe").read_to_string(&mut out).expect("text");
+    child.stderr.take().expect("a pipe").read_to_string(&mut err).expect("text");
+    (child.wait().expect("its end").success(), out, err)
+}
--- /dev/null
+++ b/crates/gatherer/tests/life.rs
@@ -0,0 +1,166 @@
+//! Start, discovery, end, and the command line.
+
+mod common;
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use common::{Manner, Shard, World, list, member, ms, request, run, until};
+use serde_json::json;
+use std::sync::atomic::Ordering;
+use tokio::time::Instant;
+
+#[tokio::test]
+async fn it_is_ready_only_once_it_knows_a_server() {
+    let world = World::with(&[Manner::Answer; 2], |c| c["known"] = list(0, true, Vec::new())).await;
+    assert_eq!(world.health().await, 503);
+    let members = world.shards.iter().zip(0..);
+    world
+        .discovery
+        .tell(true, members.map(|(s, i)| member(&format!("s-{i}"), s.address, i, "ready", 0)).collect());
+    let world = world.ready().await;
+    assert_eq!(world.client().await.ask(&request("near", "q", 4, "900m")).await.status, 200);
+}
+
+#[tokio::test]
+async fn a_silent_broken_or_absent_discovery_leaves_the_list_as_it_was() {
+    for instead in ["", "{\"revision\": 9", "{\"revision\":9,\"complete\":true,\"members\":[{\"id\":\"x\"}]}"]
+    {
+        let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+        *world.discovery.instead.lock().expect("words") = Some(instead.into());
+        let calls = world.discovery.calls.load(Ordering::SeqCst);
+        world.discovery.tell(true, Vec::new());
+        if !instead.is_empty() {
+            until("the watch goes on", || world.discovery.calls.load(Ordering::SeqCst) > calls + 1).await;
+        }
+        assert_eq!(world.client().await.ask(&request("near", "q", 4, "900m")).await.status, 200);
+    }
+    let world = World::with(&[Manner::Answer; 2], |c| c["discovery"] = "127.0.0.1:1".into());
+    let world = world.await.ready().await;
+    assert_eq!(world.client().await.ask(&request("near", "q", 4, "900m")).await.status, 200);
+}
+
+/// Guards against parts sent to a server that drains, those that wait for a connection included.
+#[tokio::test]
+async fn a_draining_server_gets_nothing_new_and_finishes_what_it_has() {
+    let world = World::start(&[Manner::Late(ms(300)); 2]).await.ready().await;
+    let mut client = world.client().await;
+    client.send(&request("book", "before", 4, "1900m")).await;
+    until("it is sent", || world.parts() == 4).await;
+    world.discovery.tell(false, vec![member("s-0", world.shards[0].address, 0, "draining", 0)]);
+    assert_eq!(client.next().await.expect("an answer").status, 200);
+    let had = world.shards[0].parts();
+    for number in 0..4 {
+        let reply = client.ask(&request("book", &format!("after-{number}"), 4, "1900m")).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(world.shards[0].parts(), had);
+    world.discovery.tell(false, vec![member("s-0", world.shards[0].address, 0, "gone", 0)]);
+    until("its connection is closed", || world.shards[0].closed.load(Ordering::SeqCst) == 1).await;
+}
+
+#[tokio::test]
+async fn a_server_whose_address_changed_is_reached_at_the_new_one() {
+    let world = World::start(&[Manner::Answer]).await.ready().await;
+    let mut client = world.client().await;
+    assert_eq!(client.ask(&request("near", "old", 4, "900m")).await.status, 200);
+    let moved = Shard::start(Manner::Answer).await;
+    world.discovery.tell(false, vec![member("s-0", moved.address, 0, "ready", 0)]);
+    until("the old connection is closed", || world.shards[0].closed.load(Ordering::SeqCst) == 1).await;
+    assert_eq!(client.ask(&request("near", "new", 4, "900m")).await.status, 200);
+    assert!(moved.parts() == 3 && world.shards[0].parts() == 3);
+}
+
+/// Guards against a gatherer that has only just started and takes a cold server for a warm one.
+#[tokio::test]
+async fn a_server_that_started_before_this_gatherer_did_is_still_cold() {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+    let world = World::with(&[Manner::Late(ms(20)); 2], |config| {
+        config["settings"]["rules"]["cold_us"] = 60_000_000.into();
+        config["known"]["members"][0]["up_since_ms"] = now.into();
+    });
+    let world = world.await.ready().await;
+    let mut client = world.client().await;
+    for number in 0..40 {
+        assert_eq!(client.ask(&request("near", &format!("cold-{number}"), 4, "900m")).await.status, 200);
+    }
+    let (cold, warm) = (world.shards[0].parts(), world.shards[1].parts());
+    assert!(cold * 4 < warm, "{cold} parts to the cold one, {warm} to the warm");
+}
+
+/// Guards against queries lost in a planned restart: those out, and those that still come.
+#[tokio::test]
+async fn told_to_end_it_answers_what_is_out_and_what_still_comes_then_exits_well() {
+    let mut world = World::start(&[Manner::Late(ms(400)); 2]).await.ready().await;
+    let mut out = world.client().await;
+    let mut kept = world.client().await;
+    out.send(&request("near", "out", 4, "1900m")).await;
+    until("it is sent", || world.parts() > 0).await;
+    world.signal("TERM");
+    tokio::time::sleep(ms(100)).await;
+    let mut fresh = world.client().await;
+    fresh.send(&request("near", "fresh", 4, "1900m")).await;
+    kept.send(&request("near", "kept", 4, "1900m")).await;
+    for (client, id) in [(&mut out, "out"), (&mut fresh, "fresh"), (&mut kept, "kept")] {
+        let reply = client.next().await.expect("an answer");
+        assert_eq!((reply.status, reply.values(id)), (200, 3));
+        assert!(reply.head.contains("connection: close"), "{}", reply.head);
+        assert!(client.next().await.is_none(), "the connection ends");
+    }
+    let answered = Instant::now();
+    assert!(world.exit().await.success());
+    assert!(answered.elapsed() < ms(1500));
+}
+
+#[tokio::test]
+async fn killed_and_started_anew_it_serves_with_nothing_kept() {
+    let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    world.signal("KILL");
+    let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    assert_eq!(world.client().await.ask(&request("near", "q", 4, "900m")).await.status, 200);
+}
+
+#[test]
+fn the_command_line_says_what_it_takes_and_refuses_the_rest() {
+    let (well, out, _) = run(&["version"], None);
+    assert!(well && out.starts_with("ashvane "));
+    let (well, out, _) = run(&["--help"], None);
+    assert!(well && out.contains("serve") && out.contains("GW_CONFIG"));
+    for arguments in
+        [&["frobnicate"][..], &["serve", "--frobnicate"], &["version", "x"], &["serve", "--log", "loud"]]
+    {
+        let (well, _, err) = run(arguments, None);
+        assert!(!well && err.lines().count() == 1, "{arguments:?}: {err}");
+    }
+}
+
+#[tokio::test]
+async fn what_it_cannot_start_from_is_named_in_one_line() {
+    let refused = |config: Option<&str>, word: &str| {
+        let (well, _, err) = run(&["serve", "--log", "error"], config);
+        assert!(!well && err.lines().count() == 1 && err.contains(word), "{word}: {err}");
+    };
+    refused(None, "GW_CONFIG");
+    refused(Some("/nowhere/config.json"), "/nowhere/config.json");
+    let world = World::start(&[Manner::Answer]).await;
+    let path = world.config();
+    let good: serde_json::Value =
+        serde_json::from_str(&std::fs::read_to_string(&path).expect("it")).expect("JSON");
+    let write = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut config = good.clone();
+        change(&mut config);
+        std::fs::write(&path, config.to_string()).expect("written");
+    };
+    refused(Some(&path), "cannot listen");
+    write(&|c| c["settings"]["family_info"]["follow_up"] = json!([0, 2]));
+    refused(Some(&path), "follow_up");
+    write(&|c| c["settings"]["policy_limits"] = json!({}));
+    refused(Some(&path), "policy_limits");
+    write(&|c| c["known"]["members"][0]["cell"] = 7.into());
+    refused(Some(&path), "known");
+    write(&|c| c["listen"] = "nowhere".into());
+    refused(Some(&path), "GW_LISTEN");
+    write(&|c| c["seed"] = "xyz".into());
+    refused(Some(&path), "seed");
+    std::fs::write(&path, "{").expect("written");
+    refused(Some(&path), "GW_CONFIG");
+}
--- /dev/null
+++ b/crates/gatherer/tests/serving.rs
@@ -0,0 +1,208 @@
+//! The program between clients and shard servers, well and not.
+
+mod common;
+
+use common::{Manner, World, frame, ms, request, until};
+use std::sync::atomic::Ordering;
+use tokio::time::Instant;
+
+#[tokio::test]
+async fn a_calm_query_is_answered_whole_by_its_n_parts_over_kept_connections() {
+    let world = World::start(&[Manner::Answer; 4]).await.ready().await;
+    let mut client = world.client().await;
+    for number in 0..5 {
+        let id = format!("calm-{number}");
+        let reply = client.ask(&request("near", &id, 8, "900m")).await;
+        assert_eq!((reply.status, reply.json()["whole"].as_bool()), (200, Some(true)));
+        assert_eq!(reply.values(&id), 6);
+    }
+    assert_eq!(world.parts(), 30, "n parts of each query, and no spare");
+    let frames = world.shards.iter().flat_map(|s| s.seen('S'));
+    frames.for_each(|f| assert!(f.text == "c41e77d0" && f.ids.len() <= 4));
+    let connections = world.shards.iter().map(|s| s.connections.load(Ordering::SeqCst));
+    assert!(connections.max() == Some(1), "one connection carries a server's parts");
+}
+
+/// Guards against calls paid for part by part, and against frames or connections over their numbers.
+#[tokio::test]
+async fn parts_share_frames_up_to_their_number_and_connections_up_to_theirs() {
+    let world = World::with(&[Manner::Late(ms(300)); 2], |config| {
+        config["settings"]["family_info"]["span"] = 1.into();
+        config["settings"]["family_info"]["parts_a_call"] = 3.into();
+        config["settings"]["policy_limits"]["multiplex"] = 4.into();
+    });
+    let world = world.await.ready().await;
+    let reply = world.client().await.ask(&request("book", "wide", 16, "1900m")).await;
+    assert_eq!((reply.status, reply.values("wide")), (200, 16));
+    for shard in &world.shards {
+        let frames = shard.seen('S');
+        let sizes: Vec<usize> = frames.iter().map(|f| f.ids.len()).collect();
+        assert_eq!(sizes, [3, 3, 2], "eight parts to a cell, three to a frame");
+        let mut used: Vec<usize> = frames.iter().map(|f| f.connection).collect();
+        used.dedup();
+        assert_eq!(used.len(), 3, "four parts at once to a connection leave no room for a second frame");
+    }
+}
+
+#[tokio::test]
+async fn a_part_that_fails_everywhere_leaves_an_answer_that_is_not_whole() {
+    let world = World::with(&[Manner::Answer, Manner::Failed], |config| {
+        config["settings"]["family_info"]["span"] = 1.into();
+    });
+    let world = world.await.ready().await;
+    let reply = world.client().await.ask(&request("near", "short", 4, "900m")).await;
+    assert_eq!((reply.status, reply.json()["whole"].as_bool()), (200, Some(false)));
+    assert_eq!(reply.values("short"), 2);
+}
+
+#[tokio::test]
+async fn full_servers_are_left_and_the_query_is_answered_elsewhere() {
+    let world =
+        World::start(&[Manner::Full, Manner::Full, Manner::Answer, Manner::Answer]).await.ready().await;
+    let reply = world.client().await.ask(&request("book", "elsewhere", 4, "1900m")).await;
+    assert_eq!((reply.status, reply.values("elsewhere")), (200, 4), "turned away proves that it never ran");
+}
+
+#[tokio::test]
+async fn a_dead_server_never_ran_a_part_so_that_even_bookings_go_elsewhere() {
+    let world = World::with(&[Manner::Answer; 2], |config| {
+        let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr();
+        let dead = common::member("s-dead", dead.expect("its address"), 0, "ready", 0);
+        config["known"]["members"].as_array_mut().expect("members").push(dead);
+    });
+    let world = world.await.ready().await;
+    let mut client = world.client().await;
+    for number in 0..6 {
+        let id = format!("book-{number}");
+        let reply = client.ask(&request("book", &id, 2, "1900m")).await;
+        assert_eq!((reply.status, reply.values(&id)), (200, 2));
+    }
+}
+
+/// Guards against a booking sent twice, and against giving up one that provably never ran.
+#[tokio::test]
+async fn a_connection_cut_after_the_frame_may_have_run_it_and_one_cut_before_did_not() {
+    let world = World::start(&[Manner::Cut, Manner::Cut]).await.ready().await;
+    let reply = world.client().await.ask(&request("book", "cut", 2, "1900m")).await;
+    assert_eq!(reply.status, 502, "given up with no promise");
+    let mut ids: Vec<String> = world.shards.iter().flat_map(|s| s.seen('S')).flat_map(|f| f.ids).collect();
+    let sent = ids.len();
+    ids.dedup();
+    assert_eq!(ids.len(), sent, "no part goes twice");
+
+    let unread = [Manner::Unread(ms(100)), Manner::Unread(ms(100))];
+    let world = World::with(&unread, |config| {
+        config["settings"]["family_info"]["parts_a_call"] = 16.into();
+        config["settings"]["policy_limits"]["multiplex"] = 16.into();
+    });
+    let world = world.await.ready().await;
+    let long = "c".repeat(60_000);
+    let reply =
+        world.client().await.ask(&request("book", "uncut", 16, "1900m").replace("c41e77d0", &long)).await;
+    assert_eq!(reply.status, 400, "a length that does not hold is refused");
+    let body = serde_json::json!({
+        "targets": (0..16).map(|s| serde_json::json!({"partition": s, "share": 0.0625})).collect::<Vec<_>>(),
+        "query": long,
+    });
+    let headers = [("Req-Id", "uncut"), ("Req-Owner", "acme"), ("Req-Deadline", "1900m")];
+    let reply = world.client().await.ask(&common::post("book", &headers, &body.to_string())).await;
+    assert_eq!(reply.status, 503, "no last byte was written: to ask again is harmless");
+}
+
+#[tokio::test]
+async fn an_overdue_part_gets_a_spare_and_what_is_left_out_is_given_up() {
+    let world =
+        World::start(&[Manner::Silent, Manner::Silent, Manner::Answer, Manner::Answer]).await.ready().await;
+    let mut client = world.client().await;
+    let mut silent = 0;
+    for number in 0..4 {
+        let id = format!("spare-{number}");
+        let came = Instant::now();
+        let reply = client.ask(&request("near", &id, 4, "1900m")).await;
+        assert_eq!((reply.status, reply.values(&id)), (200, 3));
+        assert!(came.elapsed() < ms(1000), "a spare is in before half the SLO time and an answer");
+        silent = world.shards[..2].iter().map(common::Shard::parts).sum();
+    }
+    assert!(silent > 0, "some part met a silent server");
+    let told = || world.shards[..2].iter().map(|s| s.seen('C').len()).sum::<usize>();
+    until("each silent part is given up", || told() == silent).await;
+}
+
+/// Guards against a late answer counted for another leaf call, or for nobody's: the connection stays.
+#[tokio::test]
+async fn late_answers_to_parts_that_were_given_up_are_passed_over() {
+    let manners = [Manner::Late(ms(900)), Manner::Late(ms(900)), Manner::Answer, Manner::Answer];
+    let world = World::start(&manners).await.ready().await;
+    let mut client = world.client().await;
+    for number in 0..4 {
+        let id = format!("late-{number}");
+        let reply = client.ask(&request("near", &id, 4, "1900m")).await;
+        assert_eq!((reply.status, reply.values(&id)), (200, 3));
+    }
+    tokio::time::sleep(ms(1000)).await;
+    let closed: u32 = world.shards.iter().map(|s| s.closed.load(Ordering::SeqCst)).sum();
+    assert_eq!(closed, 0);
+}
+
+#[tokio::test]
+async fn malformed_frames_and_stray_answers_drop_their_connection_alone() {
+    let bad: [Vec<u8>; 6] = [
+        vec![0, 0, 0, 0],
+        vec![255, 255, 255, 255, b'R'],
+        frame('Z', "what"),
+        frame('R', "no line"),
+        frame('R', "stray.0 done 7 -\nvalue"),
+        frame('F', "cannot be used"),
+    ];
+    for bytes in bad {
+        let world = World::start(&[Manner::Bytes(bytes.clone()), Manner::Answer]).await.ready().await;
+        let mut client = world.client().await;
+        for number in 0..3 {
+            let id = format!("bad-{number}");
+            let reply = client.ask(&request("near", &id, 4, "1900m")).await;
+            assert_eq!((reply.status, reply.values(&id) >= 3), (200, true), "after {bytes:?}");
+        }
+        if world.shards[0].parts() > 0 {
+            let closed = || world.shards[0].closed.load(Ordering::SeqCst) > 0;
+            until("the connection is dropped", closed).await;
+        }
+    }
+}
+
+/// Guards against requests written to a connection that the server is about to close.
+#[tokio::test]
+async fn idle_connections_are_closed_before_the_server_does() {
+    let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    let mut client = world.client().await;
+    assert_eq!(client.ask(&request("near", "once", 4, "900m")).await.status, 200);
+    let came = Instant::now();
+    let open = || {
+        world.shards.iter().map(|s| s.connections.load(Ordering::SeqCst) - s.closed.load(Ordering::SeqCst))
+    };
+    until("idle connections are closed", || open().sum::<u32>() == 0).await;
+    assert!(came.elapsed() > ms(1000) && came.elapsed() < ms(2000), "late, yet before the server's 2 s");
+    assert_eq!(client.ask(&request("near", "again", 4, "900m")).await.status, 200);
+}
+
+/// Guards against one silent server that takes every descriptor: each has its share.
+#[tokio::test]
+async fn silent_servers_take_no_more_than_their_share_of_connections() {
+    let world = World::with(&[Manner::Silent, Manner::Answer], |config| {
+        config["limits"]["sockets"] = 96.into();
+        config["settings"]["policy_limits"]["most_held"] = 10_000.into();
+        config["settings"]["policy_limits"]["multiplex"] = 1.into();
+        config["settings"]["family_info"]["span"] = 1.into();
+    });
+    let world = world.await.ready().await;
+    let mut clients = Vec::new();
+    for number in 0..12 {
+        let mut client = world.client().await;
+        client.send(&request("near", &format!("share-{number}"), 8, "600m")).await;
+        clients.push(client);
+    }
+    for client in &mut clients {
+        assert!(client.next().await.is_some());
+    }
+    assert!(world.shards[0].connections.load(Ordering::SeqCst) <= 8, "half of the sixteen for servers");
+    assert!(world.descriptors() <= 96);
+}
