--- a/crates/gatherer/src/program/mod.rs
+++ b/crates/gatherer/src/program/mod.rs
@@ -16,7 +16,7 @@
 use crate::transport::front::{Door, Front};
 
 /// Events that may wait for the decisions; past it, handlers and connections wait.
-const EVENTS_MOST: usize = 1024;
+const EVENTS_MOST: usize = 256;
 /// Descriptors for all but clients and shard servers: standard streams, the runtime, discovery, the listener.
 const SOCKETS_APART: usize = 64;
 /// New connections count as having stopped once none has come for so long: they come for up to 0.4 s.
--- a/crates/gatherer/src/transport/front.rs
+++ b/crates/gatherer/src/transport/front.rs
@@ -1,5 +1,6 @@
 //! Clients' connections: accepts them up to a bound, reads requests, writes answers.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use axum::middleware::{self, Next};
 use axum::routing::{get, post};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::service::{Service as _, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
@@ -103,14 +105,32 @@
         .with_state(front)
 }
 
-async fn serve(stream: TcpStream, router: Router, mut phase: watch::Receiver<Phase>) {
-    let service = TowerToHyperService::new(router);
+/// Serves one connection until it ends. Once the program closes, or descriptors run short, it ends after
+/// the request it has, or at once where it has none.
+async fn serve(
+    stream: TcpStream, router: Router, mut phase: watch::Receiver<Phase>, mut short: watch::Receiver<()>,
+) {
+    let (asked, router) = (Cell::new(false), TowerToHyperService::new(router));
+    let service = service_fn(|request| {
+        asked.set(true);
+        router.call(request)
+    });
     let mut http = hyper::server::conn::http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
     let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
+    let closing = async {
+        tokio::select! {
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+            _ = short.changed() => {}
+        }
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+        () = closing => {
+            // The shutdown leaves a connection open that has not asked for anything yet.
+            if !asked.get() {
+                return;
+            }
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -124,7 +144,7 @@
 pub struct Door {
     permits: Arc<Semaphore>,
     most: usize,
-    last: std::cell::Cell<Instant>,
+    last: Cell<Instant>,
 }
 
 impl Door {
@@ -140,17 +160,23 @@
         self.last.get().elapsed()
     }
 
-    /// Accepts while there is room; past it, connections wait.
+    /// Accepts while there is room. Past it the connections that stand idle are closed, for a client
+    /// that waits here has been accepted by the machine, and counts on an answer.
     pub async fn run(&self, listener: TcpListener, front: Arc<Front>) {
         let phase = front.phase.clone();
         let router = router(front);
+        let short = watch::Sender::new(());
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.last.set(Instant::now());
                     let _ = stream.set_nodelay(true);
+                    if self.permits.available_permits() == 0 {
+                        log::warn!("{} clients are connected: idle ones are closed", self.most);
+                        short.send_replace(());
+                    }
                     let Ok(permit) = self.permits.clone().acquire_owned().await else { return };
-                    let serving = serve(stream, router.clone(), phase.clone());
+                    let serving = serve(stream, router.clone(), phase.clone(), short.subscribe());
                     tokio::task::spawn_local(async move {
                         serving.await;
                         drop(permit);
@@ -158,6 +184,7 @@
                 }
                 Err(e) => {
                     log::warn!("no connection could be accepted: {e}");
+                    short.send_replace(());
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
--- a/crates/gatherer/src/transport/lane.rs
+++ b/crates/gatherer/src/transport/lane.rs
@@ -95,7 +95,7 @@
         &self, number: u64, address: SocketAddr, dial_limit: Duration, events: &mpsc::Sender<Event>,
     ) -> Result<(), Fault> {
         let dialled = timeout(dial_limit, TcpStream::connect(address)).await;
-        let stream = dialled.map_err(|_| Fault::Malformed("never came up"))??;
+        let stream = dialled.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let _ = events.send(Event::Up(number)).await;
         self.talk(stream, number, address, events).await
