--- a/crates/gatherer/src/program/mod.rs
+++ b/crates/gatherer/src/program/mod.rs
@@ -86,7 +86,7 @@
         let revision = config.known.revision;
         let routing =
             Routing::new(config.settings, config.network.clone(), config.known, each, events, asked, ready);
-        spawn_local(routing.run(inbox, left));
+        let deciding = spawn_local(routing.run(inbox, left));
         spawn_local(discovery.run(revision));
         let accepting = door.clone();
         spawn_local(async move { accepting.run(listener, Arc::new(front)).await });
@@ -101,9 +101,14 @@
             }
             std::future::pending().await
         };
-        tokio::select! { () = told => {}, () = started => {} }
-        program.end().await;
-        Ok(())
+        let serving = async {
+            tokio::select! { () = told => {}, () = started => {} }
+            program.end().await;
+        };
+        tokio::select! {
+            () = serving => Ok(()),
+            _ = deciding => Err("the decisions stopped".into()),
+        }
     }
 
     fn enter(&self, phase: Phase) {
--- a/crates/gatherer/src/routing/send.rs
+++ b/crates/gatherer/src/routing/send.rs
@@ -36,6 +36,7 @@
 struct Call {
     server: Rc<str>,
     carried: Carried,
+    /// Since when it waits: for a connection, then for its answer.
     since: Instant,
     until: Instant,
     /// The connection it went out on; none while it waits for one.
@@ -98,6 +99,14 @@
     }
 }
 
+fn retire(connections: &mut BTreeMap<u64, Connection>, lanes: &[u64]) {
+    for lane in lanes {
+        let Some(c) = connections.get_mut(lane) else { continue };
+        c.retired = true;
+        c.forget_if_done();
+    }
+}
+
 impl Pool {
     pub(super) fn new(network: &Network, most_lanes: usize, events: mpsc::Sender<Event>) -> Self {
         let now = Instant::now();
@@ -168,8 +177,7 @@
     /// Takes a call back that is not begun to be written; false if it is.
     fn withdraw(&mut self, key: Key, outcome: Outcome) -> bool {
         let Some(call) = self.calls.get(&key) else { return true };
-        if let Some(lane) = call.lane {
-            let Some(c) = self.connections.get_mut(&lane) else { return true };
+        if let Some(c) = call.lane.and_then(|lane| self.connections.get_mut(&lane)) {
             if !c.lane.withdraw(&call.carried.id) {
                 return false;
             }
@@ -218,6 +226,7 @@
     /// Ends the calls whose time is up, and closes connections that stand idle.
     pub(super) fn overdue(&mut self) {
         while let Some((_, key)) = self.limits.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.limits.pop_first();
             let waited = self.calls.get(&key).is_some_and(|c| c.until <= self.now);
             let unsent = if waited { Outcome::NeverSent } else { Outcome::Unreachable };
             self.give_up(key, unsent, Outcome::TimedOut);
@@ -247,9 +256,7 @@
             let s = self.servers.entry(listed.id.as_str().into()).or_insert_with(fresh);
             if s.address != listed.address {
                 s.address = listed.address;
-                for lane in &s.lanes {
-                    self.connections.get_mut(lane).into_iter().for_each(|c| c.retired = true);
-                }
+                retire(&mut self.connections, &s.lanes);
             }
             s.health = listed.health;
         }
@@ -263,14 +270,11 @@
                 self.withdraw(key, Outcome::NeverSent);
             }
             let Some(s) = self.servers.get(&id).filter(|s| s.health == Health::Gone) else { continue };
-            for lane in &s.lanes {
-                self.connections.get_mut(lane).into_iter().for_each(|c| c.retired = true);
-            }
+            retire(&mut self.connections, &s.lanes);
             if s.lanes.is_empty() {
                 self.servers.remove(&id);
             }
         }
-        self.connections.values().for_each(Connection::forget_if_done);
     }
 
     pub(super) fn up(&mut self, lane: u64) {
@@ -291,8 +295,9 @@
             self.servers.remove(&c.server);
             return;
         }
-        // A dial that failed fails what waits, unless another connection may still serve it.
-        if !c.up && s.lanes.is_empty() {
+        // A dial that failed fails what waits, unless another one is on its way.
+        let dials = |lane: &u64| self.connections.get(lane).is_some_and(|c| !c.up && !c.retired);
+        if !c.up && !c.retired && !s.lanes.iter().any(dials) {
             for key in std::mem::take(&mut s.waiting) {
                 self.end(key, Outcome::Unreachable);
             }
@@ -357,7 +362,7 @@
             let patience = (call.since + self.dial_limit).min(call.until);
             self.limits.remove(&(patience, key));
             self.limits.insert((call.until, key));
-            call.lane = Some(lane);
+            (call.since, call.lane) = (self.now, Some(lane));
             let carried = &call.carried;
             c.out.insert(carried.id.clone(), key);
             frame.push(Queued {
@@ -376,8 +381,8 @@
     fn dial_for(&mut self, id: &Rc<str>) {
         let share = (self.most_lanes / self.servers.len().max(1)).max(1);
         let Some(s) = self.servers.get_mut(id) else { return };
-        let dialling =
-            s.lanes.iter().filter(|lane| self.connections.get(lane).is_some_and(|c| !c.up)).count();
+        let dials = |lane: &&u64| self.connections.get(lane).is_some_and(|c| !c.up && !c.retired);
+        let dialling = s.lanes.iter().filter(dials).count();
         if s.waiting.len() <= dialling * self.multiplex || s.lanes.len() >= share {
             return;
         }
--- a/crates/gatherer/src/transport/front.rs
+++ b/crates/gatherer/src/transport/front.rs
@@ -118,9 +118,11 @@
     let mut http = hyper::server::conn::http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
     let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
+    // One that comes when the program closes already is served: its request may be on the way.
+    let in_time = *phase.borrow() < Phase::Closing;
     let closing = async {
         tokio::select! {
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+            _ = phase.wait_for(|phase| *phase == Phase::Closing), if in_time => {}
             _ = short.changed() => {}
         }
     };
--- a/crates/gatherer/src/transport/lane.rs
+++ b/crates/gatherer/src/transport/lane.rs
@@ -1,18 +1,17 @@
 //! One connection to a shard server: a task that dials, writes what is queued and tells what it reads.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::SinkExt as _;
+use futures_util::{SinkExt as _, StreamExt as _};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, timeout};
-use tokio_stream::StreamExt as _;
 use tokio_util::codec::{FramedRead, FramedWrite};
 
 use crate::protocol::frame::{Fault, Frames, Got, PartCall, Sent};
@@ -40,7 +39,7 @@
     /// The parts of the frame that is being written.
     writing: RefCell<Vec<Arc<str>>>,
     news: Notify,
-    closing: Cell<bool>,
+    closing: Notify,
 }
 
 impl Lane {
@@ -54,9 +53,9 @@
         self.news.notify_one();
     }
 
+    /// Ends the connection at once, even if nothing can be written; what is out on it is given up.
     pub fn close(&self) {
-        self.closing.set(true);
-        self.news.notify_one();
+        self.closing.notify_one();
     }
 
     /// Takes a part back whose frame is not begun; false if it is.
@@ -127,13 +126,14 @@
                     write.send(frame).await?;
                     self.writing.borrow_mut().clear();
                 }
-                if self.closing.get() {
-                    return Ok(());
-                }
                 self.news.notified().await;
             }
         };
-        tokio::select! { ended = reading => ended, ended = writing => ended }
+        tokio::select! {
+            ended = reading => ended,
+            ended = writing => ended,
+            () = self.closing.notified() => Ok(()),
+        }
     }
 
     pub async fn run(
--- a/crates/gatherer/tests/life.rs
+++ b/crates/gatherer/tests/life.rs
@@ -112,6 +112,24 @@
     assert!(answered.elapsed() < ms(1500));
 }
 
+/// Guards against a query lost that crosses the end of the program on a connection of its own.
+#[tokio::test]
+async fn a_client_that_comes_while_it_closes_is_answered_too() {
+    let mut world = World::start(&[Manner::Late(ms(1200)); 2]).await.ready().await;
+    let (mut out, mut idle) = (world.client().await, world.client().await);
+    assert_eq!(idle.ask("GET /healthz HTTP/1.1\r\nHost: api\r\n\r\n").await.status, 200);
+    out.send(&request("book", "out", 4, "1900m")).await;
+    until("it is sent", || world.parts() > 0).await;
+    world.signal("TERM");
+    assert!(idle.next().await.is_none(), "one that stands idle is closed once new ones have stopped");
+    let mut late = world.client().await;
+    tokio::time::sleep(ms(50)).await;
+    let reply = late.ask(&request("near", "late", 4, "1900m")).await;
+    assert!([200, 503].contains(&reply.status) && reply.head.contains("connection: close"), "{reply:?}");
+    assert_eq!(out.next().await.expect("an answer").status, 200);
+    assert!(world.exit().await.success());
+}
+
 #[tokio::test]
 async fn killed_and_started_anew_it_serves_with_nothing_kept() {
     let world = World::start(&[Manner::Answer; 2]).await.ready().await;
