--- a/crates/gatherer/src/routing/send.rs
+++ b/crates/gatherer/src/routing/send.rs
@@ -24,9 +24,6 @@
 /// Given-up parts a connection remembers, times what it carries at once: their answers may come late.
 const LATE_TIMES: usize = 16;
 
-/// Connections among which a server's frames are spread: one that breaks takes few parts with it.
-const SPREAD: usize = 4;
-
 /// A part and the number of its leaf call.
 pub(super) type Key = (u64, u32);
 
@@ -64,8 +61,6 @@
     health: Health,
     lanes: Vec<u64>,
     waiting: VecDeque<Key>,
-    /// The latest frame went out beside parts of another.
-    crowded: bool,
 }
 
 pub(super) struct Pool {
@@ -257,7 +252,6 @@
                 health: listed.health,
                 lanes: Vec::new(),
                 waiting: VecDeque::new(),
-                crowded: false,
             };
             let s = self.servers.entry(listed.id.as_str().into()).or_insert_with(fresh);
             if s.address != listed.address {
@@ -358,12 +352,10 @@
                 && c.room(multiplex, now) >= parts.len()
                 && !parts.iter().any(|p| c.knows(&p.id))
         };
-        let open = s.lanes.iter().filter_map(|lane| Some((*lane, self.connections.get(lane)?)));
-        let freest = open.filter(|(_, c)| fits(c)).min_by_key(|(_, c)| c.out.len()).map(|(lane, _)| lane);
-        let Some(lane) = freest.filter(|_| !keys.is_empty()) else { return false };
+        let lane = s.lanes.iter().copied().find(|lane| self.connections.get(lane).is_some_and(fits));
+        let Some(lane) = lane.filter(|_| !keys.is_empty()) else { return false };
         s.waiting.drain(..keys.len());
         let Some(c) = self.connections.get_mut(&lane) else { return false };
-        s.crowded = !c.out.is_empty();
         let mut frame = Vec::with_capacity(keys.len());
         for key in keys {
             let Some(call) = self.calls.get_mut(&key) else { continue };
@@ -385,14 +377,13 @@
         true
     }
 
-    /// Dials for what still waits, and where frames shared a connection. Every server has its even share of the connections.
+    /// Dials for what still waits. Every server has its even share of the connections.
     fn dial_for(&mut self, id: &Rc<str>) {
         let share = (self.most_lanes / self.servers.len().max(1)).max(1);
         let Some(s) = self.servers.get_mut(id) else { return };
         let dials = |lane: &&u64| self.connections.get(lane).is_some_and(|c| !c.up && !c.retired);
         let dialling = s.lanes.iter().filter(dials).count();
-        let spread = std::mem::take(&mut s.crowded) && dialling == 0 && s.lanes.len() < SPREAD;
-        if (s.waiting.len() <= dialling * self.multiplex && !spread) || s.lanes.len() >= share {
+        if s.waiting.len() <= dialling * self.multiplex || s.lanes.len() >= share {
             return;
         }
         if self.connections.len() >= self.most_lanes {
