Discovery's trouble takes one line and not seven a second; a burst dials all it needs at once

Seen while trying the README: one warning every 150 ms while discovery is away (Discovery::run). Seen in the test of silent servers: a burst past one connection's room dialled one more a turn only (Pool::dial_for).

--- a/crates/gatherer/src/routing/send.rs
+++ b/crates/gatherer/src/routing/send.rs
@@ -333,7 +333,7 @@
             self.servers.iter().filter(|(_, s)| waiting(s)).map(|(id, _)| id.clone()).collect();
         for id in ids {
             while self.send_frame(&id) {}
-            self.dial_for(&id);
+            while self.dial_for(&id) {}
         }
     }
 
@@ -378,16 +378,14 @@
     }
 
     /// Dials for what still waits. Every server has its even share of the connections.
-    fn dial_for(&mut self, id: &Rc<str>) {
+    fn dial_for(&mut self, id: &Rc<str>) -> bool {
         let share = (self.most_lanes / self.servers.len().max(1)).max(1);
-        let Some(s) = self.servers.get_mut(id) else { return };
+        let Some(s) = self.servers.get_mut(id) else { return false };
         let dials = |lane: &&u64| self.connections.get(lane).is_some_and(|c| !c.up && !c.retired);
         let dialling = s.lanes.iter().filter(dials).count();
-        if s.waiting.len() <= dialling * self.multiplex || s.lanes.len() >= share {
-            return;
-        }
-        if self.connections.len() >= self.most_lanes {
-            return;
+        let room = s.lanes.len() < share && self.connections.len() < self.most_lanes;
+        if s.waiting.len() <= dialling * self.multiplex || !room {
+            return false;
         }
         let number = self.next_lane;
         self.next_lane += 1;
@@ -405,5 +403,6 @@
         };
         self.connections.insert(number, connection);
         tokio::task::spawn_local(lane.run(number, s.address, self.dial_limit, self.events.clone()));
+        true
     }
 }
--- a/crates/gatherer/src/transport/discovery.rs
+++ b/crates/gatherer/src/transport/discovery.rs
@@ -1,5 +1,6 @@
 //! The watch on discovery: one call after the other, each waiting for news.
 
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +25,12 @@
 /// The longest list that is read: some thousands of servers.
 const LIST_MOST: usize = 2 * 1024 * 1024;
 
-type Words = Box<dyn std::error::Error + Send + Sync>;
+type Words = Box<dyn Error + Send + Sync>;
+
+/// An error with its causes.
+fn told(error: &dyn Error) -> String {
+    error.source().map_or(error.to_string(), |cause| format!("{error}: {}", told(cause)))
+}
 
 pub struct Discovery {
     pub address: String,
@@ -50,28 +56,28 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(1).build(connector);
+        let mut trouble: Option<String> = None;
         loop {
-            let event = match timeout(WAIT + MARGIN, self.ask(&client, revision)).await {
-                Ok(Ok(list)) => {
-                    revision = list.revision;
-                    Event::Listed(list)
-                }
-                Ok(Err(e)) => {
-                    log::warn!("discovery: {e}");
-                    Event::ListFailed
-                }
-                Err(_) => {
-                    log::warn!("discovery is silent");
-                    Event::ListFailed
-                }
-            };
-            let failed = matches!(event, Event::ListFailed);
+            let asked = timeout(WAIT + MARGIN, self.ask(&client, revision)).await;
+            let answer = asked.unwrap_or_else(|_| Err("no answer in time".into()));
+            let failed = answer.as_ref().err().map(|e| told(e.as_ref()));
+            // One line for each kind of trouble and one for its end, not one for each call.
+            match &failed {
+                Some(words) if trouble != failed => log::warn!("discovery: {words}; the list stays"),
+                None if trouble.is_some() => log::info!("discovery answers again"),
+                _ => {}
+            }
+            let event = answer.map_or(Event::ListFailed, |list| {
+                revision = list.revision;
+                Event::Listed(list)
+            });
             if self.events.send(event).await.is_err() {
                 return;
             }
-            if failed {
+            if failed.is_some() {
                 let _ = timeout(PAUSE, self.asked.notified()).await;
             }
+            trouble = failed;
         }
     }
 }
--- a/crates/gatherer/tests/serving.rs
+++ b/crates/gatherer/tests/serving.rs
@@ -162,23 +162,29 @@
     let mut clients = Vec::new();
     for number in 0..12 {
         let mut client = world.client().await;
-        client.send(&request("near", &format!("share-{number}"), 8, "600m")).await;
+        client.send(&request("near", &format!("share-{number}"), 8, "1500m")).await;
         clients.push(client);
     }
+    let silent = || world.shards[0].connections.load(Ordering::SeqCst);
+    until("the silent server has its share: half of the sixteen for servers", || silent() >= 8).await;
+    tokio::time::sleep(ms(100)).await;
+    assert_eq!(silent(), 8);
+    assert!(world.descriptors() <= 96);
     for client in &mut clients {
         assert!(client.next().await.is_some());
     }
-    assert!(world.shards[0].connections.load(Ordering::SeqCst) <= 8, "half of the sixteen for servers");
-    assert!(world.descriptors() <= 96);
 }
 
 /// Guards against a wait for a connection that will not come: what waits ends with the dial that failed.
 #[tokio::test]
 async fn a_dead_server_never_ran_a_part_so_that_even_bookings_go_elsewhere_at_once() {
+    // Bound and never listening: its port refuses, and is nobody else's.
+    let dead = tokio::net::TcpSocket::new_v4().expect("a socket");
+    dead.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let address = dead.local_addr().expect("its address");
     let world = World::with(&[Manner::Answer; 2], |config| {
         config["settings"]["policy_limits"]["dial_timeout_us"] = 5_000_000.into();
-        let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr();
-        let dead = common::member("s-dead", dead.expect("its address"), 0, "ready", 0);
+        let dead = common::member("s-dead", address, 0, "ready", 0);
         config["known"]["members"].as_array_mut().expect("members").push(dead);
     })
     .await;
