--- a/crates/gatherer/tests/life.rs
+++ b/crates/gatherer/tests/life.rs
@@ -130,6 +130,24 @@
     assert!(world.exit().await.success());
 }
 
+/// Guards against spares sent after a halt of this gatherer for answers that lie in its sockets.
+#[tokio::test]
+async fn after_a_halt_no_spare_goes_out_for_an_answer_that_is_there() {
+    let world = World::start(&[Manner::Late(ms(100)); 4]).await.ready().await;
+    let mut client = world.client().await;
+    for number in 0..5 {
+        let id = format!("halt-{number}");
+        client.send(&request("near", &id, 4, "1900m")).await;
+        until("it is sent", || world.parts() == 3 * (number + 1)).await;
+        world.signal("STOP");
+        tokio::time::sleep(ms(220)).await;
+        world.signal("CONT");
+        let reply = client.next().await.expect("an answer");
+        assert_eq!((reply.status, reply.values(&id)), (200, 3));
+        assert_eq!(world.parts(), 3 * (number + 1), "no spare for an answer that was there");
+    }
+}
+
 #[tokio::test]
 async fn killed_and_started_anew_it_serves_with_nothing_kept() {
     let world = World::start(&[Manner::Answer; 2]).await.ready().await;
