--- a/crates/gatherer/src/log_lines.rs
+++ b/crates/gatherer/src/log_lines.rs
@@ -8,6 +8,8 @@
 
 /// Lines a second at the most; what is left out is counted.
 const LINES_A_SECOND: u32 = 50;
+/// Characters of a line's words at the most: some come from outside.
+const LINE_MOST: usize = 400;
 
 struct Lines {
     second: Instant,
@@ -45,7 +47,8 @@
         if left_out > 0 {
             let _ = writeln!(err, "{at} {} WARN {left_out} lines were left out", self.name);
         }
-        let _ = writeln!(err, "{at} {} {} {}", self.name, record.level(), record.args());
+        let words: String = record.args().to_string().chars().take(LINE_MOST).collect();
+        let _ = writeln!(err, "{at} {} {} {words}", self.name, record.level());
     }
 
     fn flush(&self) {}
