SIGHUP takes over the discovery that the configuration file names, from its whole list

SIGHUP was not handled (Program::serve), and GW_DISCOVERY would have held over the file (config::decode). Now the file is read at every signal, in every phase; the call at the old address is dropped and the new one asked for its whole list first, since its revisions need not go on. What only a restart takes over is named in the log; a bad file changes nothing.

--- a/crates/gatherer/src/main.rs
+++ b/crates/gatherer/src/main.rs
@@ -20,16 +20,16 @@
 Levels: error, warn, info (unless given), debug.
 
 serve reads its configuration, as JSON, from the file that GW_CONFIG names. GW_NAME, GW_LISTEN
-and GW_DISCOVERY hold over what it says.
+and GW_DISCOVERY hold over what it says. At SIGHUP the file is read again, and what it says
+of discovery holds.
 ";
 
 fn serve(level: log::LevelFilter) -> Result<(), String> {
-    let variable = |name: &str| std::env::var(name).ok();
-    let path = variable("GW_CONFIG").ok_or("GW_CONFIG is not set: it names the configuration file")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("GW_CONFIG {path}: {e}"))?;
-    let config = protocol::config::decode(&text, variable).map_err(|e| format!("GW_CONFIG {path}: {e}"))?;
+    let path = std::env::var("GW_CONFIG");
+    let path = path.map_err(|_| "GW_CONFIG is not set: it names the configuration file")?;
+    let config = protocol::config::load(&path, false)?;
     log_lines::start(&config.name, level);
-    Program::run(config)
+    Program::run(config, path)
 }
 
 fn command() -> Result<(), String> {
--- a/crates/gatherer/src/program/mod.rs
+++ b/crates/gatherer/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! The program from start to exit, as named phases of one object.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-use crate::protocol::config::Config;
+use crate::protocol::config::{self, Config};
 use crate::routing::Routing;
 use crate::transport::discovery::Discovery;
 use crate::transport::front::{Door, Front};
@@ -33,6 +34,8 @@
     /// Listens, but knows no server that is ready.
     Starting,
     Ready,
+    /// Told to take over its configuration anew: serves on, until discovery has told the whole list there.
+    Reloading,
     /// Told to end: goes on accepting and answering, and asks clients to connect elsewhere.
     Draining,
     /// New connections have stopped coming: idle ones are closed.
@@ -40,28 +43,34 @@
 }
 
 pub struct Program {
+    config: Config,
+    path: String,
     phase: watch::Sender<Phase>,
+    discovery: watch::Sender<SocketAddr>,
     door: Rc<Door>,
     last_margin: Duration,
 }
 
 impl Program {
-    /// Runs until told to end and done, or until it cannot start.
-    pub fn run(config: Config) -> Result<(), String> {
+    /// Runs until told to end and done, or until it cannot start. `path` is where the configuration is from.
+    pub fn run(config: Config, path: String) -> Result<(), String> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, Self::serve(config))
+        LocalSet::new().block_on(&runtime, Self::serve(config, path))
     }
 
-    async fn serve(config: Config) -> Result<(), String> {
+    async fn serve(config: Config, path: String) -> Result<(), String> {
+        let listen = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+        let mut hangup = listen(SignalKind::hangup())?;
+        let mut terminate = listen(SignalKind::terminate())?;
+        let mut interrupt = listen(SignalKind::interrupt())?;
         let listener = TcpListener::bind(config.listen).await;
         let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-        let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
         let (events, inbox) = mpsc::channel(EVENTS_MOST);
         let (phase, phases) = watch::channel(Phase::Starting);
         let (ready, is_ready) = oneshot::channel();
-        let (left, asked) = (Arc::new(Notify::new()), Rc::new(Notify::new()));
+        let (left, asked, followed) = (Arc::new(Notify::new()), Rc::default(), Rc::new(Notify::new()));
+        let (discovery, address) = watch::channel(config.discovery);
         let each = config.sockets.saturating_sub(SOCKETS_APART).max(2) / 2;
         log::info!(
             "{} listens on {}: {} sockets, {} MB, at most {each} clients and as many connections to servers",
@@ -71,38 +80,70 @@
             config.memory_mb
         );
         let door = Rc::new(Door::new(each));
-        let network = Arc::new(config.network);
+        let network = Arc::new(config.network.clone());
         let front =
             Front { network: network.clone(), events: events.clone(), left: left.clone(), phase: phases };
-        let discovery = Discovery {
-            address: config.discovery,
+        let watching = Discovery {
+            address,
             network: network.clone(),
             events: events.clone(),
-            asked: asked.clone(),
+            asked: Rc::clone(&asked),
+            followed: followed.clone(),
         };
-        let routing = Routing::new(config.settings, &network, &config.known, each, events, asked, ready);
+        let routing = Routing::new(&config.settings, &network, &config.known, each, events, asked, ready);
         let deciding = spawn_local(routing.run(inbox, left));
-        spawn_local(discovery.run(config.known.revision));
+        spawn_local(watching.run(config.known.revision));
         let accepting = door.clone();
         spawn_local(async move { accepting.run(listener, Arc::new(front)).await });
-        let program = Program { phase, door, last_margin: network.longest.max(LONGEST_LEAST) + LAST_MARGIN };
+        let last_margin = network.longest.max(LONGEST_LEAST) + LAST_MARGIN;
+        let program = Program { config, path, phase, discovery, door, last_margin };
         let told = async {
             tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
         };
-        let started = async {
-            if is_ready.await.is_ok() {
-                program.enter(Phase::Ready);
-            }
-            std::future::pending().await
-        };
         let serving = async {
-            tokio::select! { () = told => {}, () = started => {} }
+            tokio::select! { () = told => {}, () = program.start(is_ready, &followed) => {} }
             program.end().await;
         };
+        let reloading = async {
+            while hangup.recv().await.is_some() {
+                program.reload();
+            }
+        };
         tokio::select! {
             () = serving => Ok(()),
             _ = deciding => Err("the decisions stopped".into()),
+            () = reloading => Err("no signals".into()),
+        }
+    }
+
+    /// Becomes ready with the first ready server, and again each time that a reload is done.
+    async fn start(&self, is_ready: oneshot::Receiver<()>, followed: &Notify) {
+        if is_ready.await.is_ok() {
+            self.enter(Phase::Ready);
+        }
+        loop {
+            followed.notified().await;
+            if *self.phase.borrow() == Phase::Reloading {
+                self.enter(Phase::Ready);
+            }
+        }
+    }
+
+    /// Reads the configuration anew and goes to the discovery that it names. In trouble all stays as it is.
+    fn reload(&self) {
+        let newer = match config::load(&self.path, true) {
+            Ok(newer) => newer,
+            Err(words) => return log::error!("not reloaded: {words}"),
+        };
+        let fixed = self.config.wants_restart(&newer);
+        if !fixed.is_empty() {
+            log::warn!("only a restart takes over what is new in {}", fixed.join(", "));
+        }
+        log::info!("reloaded: discovery at {}", newer.discovery);
+        if *self.phase.borrow() == Phase::Ready {
+            self.enter(Phase::Reloading);
         }
+        self.discovery.send_replace(newer.discovery);
     }
 
     fn enter(&self, phase: Phase) {
--- a/crates/gatherer/src/protocol/config.rs
+++ b/crates/gatherer/src/protocol/config.rs
@@ -21,7 +21,7 @@
     listen: String,
     discovery: String,
     seed: String,
-    limits: Limits,
+    limits: Value,
     known: Value,
     settings: Value,
 }
@@ -30,28 +30,57 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: String,
+    pub discovery: SocketAddr,
     pub memory_mb: u64,
     pub sockets: usize,
     pub known: List,
     pub settings: Settings,
     pub network: Network,
+    /// What the file says of the things that hold until the program ends.
+    fixed: Vec<(&'static str, Value)>,
+}
+
+impl Config {
+    /// What a newer file says otherwise although only a restart can change it.
+    pub fn wants_restart(&self, newer: &Config) -> Vec<&'static str> {
+        let pairs = self.fixed.iter().zip(&newer.fixed);
+        pairs.filter(|(ours, theirs)| ours != theirs).map(|(ours, _)| ours.0).collect()
+    }
+}
+
+fn address(name: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{name} {text:?} is not an address"))
+}
+
+/// Reads the configuration file that `GW_CONFIG` names. Variables hold over it, but at a reload the file is
+/// newer than the variable that names discovery.
+pub fn load(path: &str, reload: bool) -> Result<Config, String> {
+    let variable = |name: &str| std::env::var(name).ok().filter(|_| !(reload && name == "GW_DISCOVERY"));
+    let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+    text.and_then(|text| decode(&text, variable)).map_err(|e| format!("GW_CONFIG {path}: {e}"))
 }
 
 /// Reads the configuration. `variable` tells an environment variable, which holds over the file.
-pub fn decode(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+fn decode(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| format!("seed {:?} is not hex", file.seed))?;
     let network = ashvane_settings::read_network(&file.settings)?;
-    let listen = variable("GW_LISTEN").unwrap_or(file.listen);
+    let limits = Limits::deserialize(&file.limits).map_err(|e| format!("limits: {e}"))?;
+    let told = |name: &str, text: &str| variable(name).unwrap_or_else(|| text.to_owned());
     Ok(Config {
-        name: variable("GW_NAME").unwrap_or(file.name),
-        listen: listen.parse().map_err(|_| format!("GW_LISTEN {listen:?} is not an address"))?,
-        discovery: variable("GW_DISCOVERY").unwrap_or(file.discovery),
-        memory_mb: file.limits.memory_mb,
-        sockets: file.limits.sockets,
+        name: told("GW_NAME", &file.name),
+        listen: address("GW_LISTEN", &told("GW_LISTEN", &file.listen))?,
+        discovery: address("GW_DISCOVERY", &told("GW_DISCOVERY", &file.discovery))?,
+        memory_mb: limits.memory_mb,
+        sockets: limits.sockets,
         known: super::list::from_value(file.known, &network).map_err(|e| format!("known: {e}"))?,
         settings: ashvane_settings::read(seed, &file.settings)?,
         network,
+        fixed: vec![
+            ("name", file.name.into()),
+            ("listen", file.listen.into()),
+            ("limits", file.limits),
+            ("settings", file.settings),
+        ],
     })
 }
--- a/crates/gatherer/src/routing/mod.rs
+++ b/crates/gatherer/src/routing/mod.rs
@@ -76,13 +76,13 @@
 
 impl Routing {
     pub fn new(
-        settings: Settings, network: &Network, known: &List, most_lanes: usize, events: mpsc::Sender<Event>,
+        settings: &Settings, network: &Network, known: &List, most_lanes: usize, events: mpsc::Sender<Event>,
         asked: Rc<Notify>, ready: oneshot::Sender<()>,
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = Instant::now();
         let actions = Actions::default();
-        let gatherer = Gatherer::new(Hand(actions.clone()), &settings, unix);
+        let gatherer = Gatherer::new(Hand(actions.clone()), settings, unix);
         let mut routing = Routing {
             gatherer,
             actions,
--- a/crates/gatherer/src/transport/discovery.rs
+++ b/crates/gatherer/src/transport/discovery.rs
@@ -1,6 +1,7 @@
 //! The watch on discovery: one call after the other, each waiting for news.
 
 use std::error::Error;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::timeout;
 
 use crate::protocol::list::{self, List};
@@ -34,33 +35,48 @@
 }
 
 pub struct Discovery {
-    pub address: String,
+    /// Where it is asked; a newer address takes the place of the one before, with whatever is asked there.
+    pub address: watch::Receiver<SocketAddr>,
     pub network: Arc<Network>,
     pub events: mpsc::Sender<Event>,
     /// The decisions ask for the list: a pause ends.
     pub asked: Rc<Notify>,
+    /// A whole list came from an address that had not told one yet.
+    pub followed: Rc<Notify>,
 }
 
 impl Discovery {
-    async fn ask(&self, client: &Client<HttpConnector, Empty<Bytes>>, after: u64) -> Result<List, Words> {
-        let wait = WAIT.as_millis();
-        let uri = format!("http://{}/v1/servers?after={after}&wait_ms={wait}", self.address).parse()?;
-        let answer = client.get(uri).await?;
-        if !answer.status().is_success() {
-            return Err(format!("status {}", answer.status()).into());
-        }
-        let body = Limited::new(answer.into_body(), LIST_MOST).collect().await?.to_bytes();
-        Ok(list::decode(&body, &self.network)?)
+    /// Asks for what is newer than a revision, or at once for the whole list.
+    async fn ask(
+        &self, client: &Client<HttpConnector, Empty<Bytes>>, after: Option<u64>,
+    ) -> Result<List, Words> {
+        let wait = after.map_or(Duration::ZERO, |_| WAIT);
+        let watch =
+            after.map_or(String::new(), |after| format!("?after={after}&wait_ms={}", wait.as_millis()));
+        let uri = format!("http://{}/v1/servers{watch}", *self.address.borrow()).parse()?;
+        let asking = async {
+            let answer = client.get(uri).await?;
+            if !answer.status().is_success() {
+                return Err(format!("status {}", answer.status()).into());
+            }
+            let body = Limited::new(answer.into_body(), LIST_MOST).collect().await?.to_bytes();
+            let list = list::decode(&body, &self.network)?;
+            if after.is_none() && !list.all {
+                return Err("not the whole list".into());
+            }
+            Ok(list)
+        };
+        timeout(wait + MARGIN, asking).await.unwrap_or_else(|_| Err("no answer in time".into()))
     }
 
-    pub async fn run(self, mut revision: u64) {
+    /// Follows the list at one address for good. `revision` is what is known of it already, if anything is.
+    async fn follow(&self, mut revision: Option<u64>) {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(1).build(connector);
         let mut trouble: Option<String> = None;
         loop {
-            let asked = timeout(WAIT + MARGIN, self.ask(&client, revision)).await;
-            let answer = asked.unwrap_or_else(|_| Err("no answer in time".into()));
+            let answer = self.ask(&client, revision).await;
             let failed = answer.as_ref().err().map(|e| told(e.as_ref()));
             // One line for each kind of trouble and one for its end, not one for each call.
             match &failed {
@@ -69,16 +85,29 @@
                 _ => {}
             }
             let event = answer.map_or(Event::ListFailed, |list| {
-                revision = list.revision;
+                if revision.replace(list.revision).is_none() {
+                    self.followed.notify_one();
+                }
                 Event::Listed(list)
             });
-            if self.events.send(event).await.is_err() {
-                return;
-            }
+            // The decisions are gone only when the program ends.
+            let _ = self.events.send(event).await;
             if failed.is_some() {
                 let _ = timeout(PAUSE, self.asked.notified()).await;
             }
             trouble = failed;
         }
     }
+
+    /// Follows the list for good, at the newest address. What is known of the list counts at the first only:
+    /// another's revisions need not go on from there.
+    pub async fn run(self, revision: u64) {
+        let (mut address, mut revision) = (self.address.clone(), Some(revision));
+        loop {
+            tokio::select! {
+                () = self.follow(revision) => {}
+                Ok(()) = address.changed() => revision = None,
+            }
+        }
+    }
 }
--- a/crates/gatherer/src/transport/front.rs
+++ b/crates/gatherer/src/transport/front.rs
@@ -52,7 +52,7 @@
 
 async fn health(State(front): State<Arc<Front>>) -> Response<Body> {
     match *front.phase.borrow() {
-        Phase::Ready => query::say(StatusCode::OK, "ready"),
+        Phase::Ready | Phase::Reloading => query::say(StatusCode::OK, "ready"),
         _ => query::say(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
     }
 }
--- a/crates/gatherer/tests/common/mod.rs
+++ b/crates/gatherer/tests/common/mod.rs
@@ -188,6 +188,8 @@
     /// Answers with this in place of the list, or not at all if it is empty.
     pub instead: Arc<Mutex<Option<String>>>,
     pub calls: Arc<AtomicU32>,
+    /// The revisions after which it was asked, and 0 for each time that the whole list was.
+    pub after: Arc<Mutex<Vec<u64>>>,
 }
 
 async fn watched(State(discovery): State<Discovery>, uri: Uri) -> (StatusCode, String) {
@@ -195,6 +197,7 @@
     let asked = |name: &str| -> Option<u64> {
         uri.query()?.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     };
+    discovery.after.lock().expect("revisions").push(asked("after").unwrap_or(0));
     let end = Instant::now() + ms(asked("wait_ms").unwrap_or(0));
     loop {
         let instead = discovery.instead.lock().expect("words").clone();
@@ -219,11 +222,17 @@
 }
 
 impl Discovery {
-    async fn start() -> Discovery {
+    pub async fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("its address");
         let list = Arc::new(Mutex::new((1, true, Vec::new())));
-        let discovery = Discovery { address, list, instead: Arc::default(), calls: Arc::default() };
+        let discovery = Discovery {
+            address,
+            list,
+            instead: Arc::default(),
+            calls: Arc::default(),
+            after: Arc::default(),
+        };
         let router = axum::Router::new().route("/v1/servers", axum::routing::get(watched));
         let router = router.with_state(discovery.clone());
         tokio::spawn(async move { axum::serve(listener, router).await });
@@ -379,6 +388,7 @@
         std::fs::write(folder.join("config.json"), config.to_string()).expect("a configuration");
         let mut command = program();
         command.args(["serve", "--log", "error"]).env("GW_CONFIG", folder.join("config.json"));
+        command.env("GW_DISCOVERY", config["discovery"].as_str().expect("an address"));
         let child = command.spawn().expect("the program");
         let world = World { shards, discovery, listen, child, folder };
         until_so("it listens", async || TcpStream::connect(listen).await.is_ok()).await;
@@ -402,6 +412,14 @@
         self.shards.iter().map(Shard::parts).sum()
     }
 
+    /// Replaces the configuration file as it is with what `change` makes of it.
+    pub fn rewrite(&self, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(self.config()).expect("the configuration");
+        let mut config = serde_json::from_str(&text).expect("JSON");
+        change(&mut config);
+        std::fs::write(self.config(), config.to_string()).expect("a configuration");
+    }
+
     pub fn signal(&self, name: &str) {
         let line = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &line]).status().expect("sh").success());
--- a/crates/gatherer/tests/life.rs
+++ b/crates/gatherer/tests/life.rs
@@ -4,7 +4,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use common::{Manner, Shard, World, list, member, ms, request, run, until};
+use common::{Discovery, Manner, Shard, World, list, member, ms, request, run, until};
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use tokio::time::Instant;
@@ -88,6 +88,62 @@
     assert!(cold * 4 < warm, "{cold} parts to the cold one, {warm} to the warm");
 }
 
+/// Guards against an end by SIGHUP, and against a discovery that is followed on although the file names another,
+/// whose revisions start anew.
+#[tokio::test]
+async fn at_sighup_the_discovery_that_the_file_names_is_followed_from_its_whole_list() {
+    let world = World::start(&[Manner::Late(ms(200)); 2]).await.ready().await;
+    let mut out = world.client().await;
+    for (kept, gone) in [(1, 0), (0, 1)] {
+        let next = Discovery::start().await;
+        next.tell(true, vec![member(&format!("s-{kept}"), world.shards[kept].address, 0, "ready", 0)]);
+        world.rewrite(|config| config["discovery"] = next.address.to_string().into());
+        let had = world.parts();
+        out.send(&request("near", &format!("out-{kept}"), 4, "1900m")).await;
+        until("it is sent", || world.parts() > had).await;
+        (0..3).for_each(|_| world.signal("HUP"));
+        until("it is watched", || next.after.lock().expect("revisions").last() == Some(&2)).await;
+        assert_eq!(next.after.lock().expect("revisions")[0], 0, "first the whole list");
+        let reply = out.next().await.expect("an answer");
+        assert_eq!((reply.status, reply.values(&format!("out-{kept}"))), (200, 3), "what is out goes on");
+        let had = world.shards[gone].parts();
+        for number in 0..4 {
+            let id = format!("after-{kept}-{number}");
+            assert_eq!(out.ask(&request("near", &id, 4, "900m")).await.status, 200);
+        }
+        assert_eq!(world.shards[gone].parts(), had, "what is not named any more gets nothing");
+        assert_eq!(world.health().await, 200);
+    }
+}
+
+/// Guards against a bad file that takes the place of a good one, or ends the program.
+#[tokio::test]
+async fn a_file_that_cannot_be_read_changes_nothing_and_sigterm_ends_a_reload() {
+    let mut world = World::start(&[Manner::Late(ms(300)); 2]).await.ready().await;
+    let good = std::fs::read_to_string(world.config()).expect("it");
+    let mut client = world.client().await;
+    for bad in [Some("{"), Some("{}"), None] {
+        match bad {
+            Some(text) => std::fs::write(world.config(), text).expect("written"),
+            None => std::fs::remove_file(world.config()).expect("removed"),
+        }
+        world.signal("HUP");
+        assert_eq!(client.ask(&request("near", "q", 4, "900m")).await.status, 200);
+    }
+    world.discovery.tell(false, vec![member("s-0", world.shards[0].address, 0, "gone", 0)]);
+    until("the old one is followed on", || world.shards[0].closed.load(Ordering::SeqCst) == 1).await;
+    std::fs::write(world.config(), good).expect("written");
+    world.rewrite(|config| config["discovery"] = "127.0.0.1:1".into());
+    client.send(&request("near", "last", 4, "1900m")).await;
+    let had = world.parts();
+    until("it is sent", || world.parts() > had).await;
+    world.signal("HUP");
+    world.signal("TERM");
+    world.signal("HUP");
+    assert_eq!(client.next().await.expect("an answer").status, 200);
+    assert!(world.exit().await.success());
+}
+
 /// Guards against queries lost in a planned restart: those out, and those that still come.
 #[tokio::test]
 async fn told_to_end_it_answers_what_is_out_and_what_still_comes_then_exits_well() {
@@ -180,12 +236,10 @@
     refused(Some("/nowhere/config.json"), "/nowhere/config.json");
     let world = World::start(&[Manner::Answer]).await;
     let path = world.config();
-    let good: serde_json::Value =
-        serde_json::from_str(&std::fs::read_to_string(&path).expect("it")).expect("JSON");
+    let good = std::fs::read_to_string(&path).expect("it");
     let write = |change: &dyn Fn(&mut serde_json::Value)| {
-        let mut config = good.clone();
-        change(&mut config);
-        std::fs::write(&path, config.to_string()).expect("written");
+        std::fs::write(&path, &good).expect("written");
+        world.rewrite(change);
     };
     refused(Some(&path), "cannot listen");
     write(&|c| c["settings"]["family_info"]["follow_up"] = json!([0, 2]));
