Clients are served on through a planned restart, and bad ones are told or closed within three seconds

New connections stop by themselves, those that clients have go on being used. So clients are served on for 0.6 of the time until a kill is possible, then sent away. What is open then is given up with an answer.

Read, and tried over sockets: a head could take 60 s and a body 10 s, where 3 s are owed for all; a body that says that it has 60 MB was read up to 64 KB first; hyper drops one of Content-Length and Transfer-Encoding and serves the request, so the bytes are watched beside it (transport::head), which hands it none past a head before that head is spoken of; repeated Req- headers were not seen; every connection that had not asked was closed where one was wanted, now the longest idle one (Door).

--- a/crates/gatherer/src/program/mod.rs
+++ b/crates/gatherer/src/program/mod.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::protocol::config::{self, Config};
-use crate::routing::Routing;
+use crate::routing::{Event, Routing};
 use crate::transport::discovery::Discovery;
 use crate::transport::front::{Door, Front};
 
@@ -22,12 +22,16 @@
 const SOCKETS_APART: usize = 64;
 /// New connections count as having stopped once none has come for so long: they come for up to 0.4 s.
 const QUIET: Duration = Duration::from_millis(600);
-/// How often a closing program looks whether it is done.
+/// How often an ending program looks whether it is done.
 const LOOK: Duration = Duration::from_millis(20);
-/// Beyond the longest deadline, nothing that was taken can be open any more.
-const LAST_MARGIN: Duration = Duration::from_millis(300);
-/// The longest deadline counts as this where it is shorter.
-const LONGEST_LEAST: Duration = Duration::from_secs(3);
+/// The longest deadline counts as this where it is longer.
+const LONGEST_MOST: Duration = Duration::from_secs(3);
+/// Beyond the longest deadline, what is open is given up; a program is killed no sooner than 0.7 s beyond it.
+const LAST_MARGIN: Duration = Duration::from_millis(500);
+/// Share of the time until then in which clients are served on as before: perhaps nobody else is there to serve them.
+const SERVED_SHARE: f64 = 0.6;
+/// Time for the last answers to be written.
+const LAST_WRITES: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -36,9 +40,9 @@
     Ready,
     /// Told to take over its configuration anew: serves on, until discovery has told the whole list there.
     Reloading,
-    /// Told to end: goes on accepting and answering, and asks clients to connect elsewhere.
+    /// Told to end: serves on, but whoever asks is told that it is not ready any more.
     Draining,
-    /// New connections have stopped coming: idle ones are closed.
+    /// Asks its clients to connect elsewhere: idle connections are closed, the others once they are answered.
     Closing,
 }
 
@@ -48,7 +52,9 @@
     phase: watch::Sender<Phase>,
     discovery: watch::Sender<SocketAddr>,
     door: Rc<Door>,
-    last_margin: Duration,
+    events: mpsc::Sender<Event>,
+    /// Once told to end, it ends after this at the latest.
+    last: Duration,
 }
 
 impl Program {
@@ -90,13 +96,14 @@
             asked: Rc::clone(&asked),
             followed: followed.clone(),
         };
-        let routing = Routing::new(&config.settings, &network, &config.known, each, events, asked, ready);
+        let routing =
+            Routing::new(&config.settings, &network, &config.known, each, events.clone(), asked, ready);
         let deciding = spawn_local(routing.run(inbox, left));
         spawn_local(watching.run(config.known.revision));
         let accepting = door.clone();
-        spawn_local(async move { accepting.run(listener, Arc::new(front)).await });
-        let last_margin = network.longest.max(LONGEST_LEAST) + LAST_MARGIN;
-        let program = Program { config, path, phase, discovery, door, last_margin };
+        spawn_local(accepting.run(listener, Arc::new(front)));
+        let last = network.longest.min(LONGEST_MOST) + LAST_MARGIN;
+        let program = Program { config, path, phase, discovery, door, events, last };
         let told = async {
             tokio::select! { _ = terminate.recv() => {}, _ = interrupt.recv() => {} }
         };
@@ -151,23 +158,23 @@
         self.phase.send_replace(phase);
     }
 
+    /// Ends: serves on as long as that leaves time to answer what is open, then sends its clients away.
     async fn end(&self) {
-        self.enter(Phase::Draining);
         let told = Instant::now();
-        while told.elapsed() < QUIET || self.door.quiet_for() < QUIET {
-            if told.elapsed() >= self.last_margin {
-                break;
-            }
+        let is_left = || self.door.open() == 0 && self.door.quiet_for().min(told.elapsed()) >= QUIET;
+        self.enter(Phase::Draining);
+        while !is_left() && told.elapsed() < self.last.mul_f64(SERVED_SHARE) {
             sleep(LOOK).await;
         }
         self.enter(Phase::Closing);
-        while self.door.open() > 0 || self.door.quiet_for() < QUIET {
-            if told.elapsed() >= self.last_margin {
-                log::warn!("{} clients are still connected", self.door.open());
-                break;
-            }
+        while !is_left() && told.elapsed() < self.last {
             sleep(LOOK).await;
         }
+        if self.door.open() > 0 {
+            log::warn!("{} clients are still connected: what they wait for is given up", self.door.open());
+            let _ = self.events.send(Event::Ending).await;
+            sleep(LAST_WRITES).await;
+        }
         log::info!("ends");
     }
 }
--- a/crates/gatherer/src/protocol/query.rs
+++ b/crates/gatherer/src/protocol/query.rs
@@ -80,8 +80,10 @@
     (StatusCode::BAD_REQUEST, reason)
 }
 
+/// A header's value; none where it is given twice, for then nobody can tell which one holds.
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())?.to_str().ok()
 }
 
 /// A number and its unit: milliseconds or microseconds.
@@ -106,20 +108,20 @@
     vertical: usize, path: &str, headers: &HeaderMap, body: &[u8], network: &Network,
 ) -> Result<Query, Refusal> {
     let key = path.splitn(3, '/').nth(2).and_then(|rest| rest.rsplit('/').next());
-    let id = header(headers, "req-id").ok_or(bad("Req-Id is missing"))?;
+    let id = header(headers, "req-id").ok_or(bad("there is no one Req-Id"))?;
     let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
     if id.is_empty() || id.len() > ID_MOST || !id.bytes().all(plain) {
         return Err(bad("Req-Id is not an id"));
     }
     let tenant = match header(headers, "req-owner") {
         _ if network.tenants.is_empty() => None,
-        None => return Err(bad("Req-Owner is missing")),
+        None => return Err(bad("there is no one Req-Owner")),
         Some(name) => {
             let found = network.tenants.iter().position(|t| t == name);
             Some(found.ok_or(bad("Req-Owner is no tenant"))?)
         }
     };
-    let wait = header(headers, "req-deadline").ok_or(bad("Req-Deadline is missing"))?;
+    let wait = header(headers, "req-deadline").ok_or(bad("there is no one Req-Deadline"))?;
     let wait = deadline(wait).ok_or(bad("Req-Deadline is not a time"))?;
     let body: WireBody = serde_json::from_slice(body).map_err(|_| bad("the body is not a query"))?;
     if body.targets.is_empty() {
--- a/crates/gatherer/src/routing/book.rs
+++ b/crates/gatherer/src/routing/book.rs
@@ -106,6 +106,10 @@
         self.held.iter().filter(|(_, h)| h.reply.is_closed()).map(|(query, _)| *query).collect()
     }
 
+    pub(super) fn all(&self) -> Vec<u64> {
+        self.held.keys().copied().collect()
+    }
+
     /// Answers a query, and holds it no more.
     pub(super) fn end(&mut self, query: u64, last: Final) -> Option<End> {
         let held = self.held.remove(&query)?;
--- a/crates/gatherer/src/routing/mod.rs
+++ b/crates/gatherer/src/routing/mod.rs
@@ -44,6 +44,8 @@
         value: String,
     },
     Down(u64),
+    /// The program ends: what is held is given up.
+    Ending,
 }
 
 /// Unix time, told once at start and then by the monotonic clock: a server's start can be compared
@@ -140,11 +142,7 @@
             left -= 1;
             next = Some(left).filter(|left| *left > 0).and_then(|_| inbox.try_recv().ok());
         }
-        for id in self.book.left() {
-            self.gatherer.abandoned(id);
-            self.carry_out();
-            self.over(id, Final::Abort);
-        }
+        self.abandon(self.book.left());
         self.pool.overdue();
         self.relay_ended();
         while let Some((_, token)) = self.wakes.first().copied().filter(|(at, _)| *at <= self.now) {
@@ -166,6 +164,15 @@
             Event::Up(lane) => self.pool.up(lane),
             Event::Answered { lane, id, end, value } => self.answered(lane, &id, end, value),
             Event::Down(lane) => self.pool.down(lane),
+            Event::Ending => self.abandon(self.book.all()),
+        }
+    }
+
+    fn abandon(&mut self, queries: Vec<u64>) {
+        for id in queries {
+            self.gatherer.abandoned(id);
+            self.carry_out();
+            self.over(id, Final::Abort);
         }
     }
 
--- a/crates/gatherer/src/transport/front.rs
+++ b/crates/gatherer/src/transport/front.rs
@@ -1,6 +1,8 @@
 //! Clients' connections: accepts them up to a bound, reads requests, writes answers.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,25 +15,32 @@
 use axum::middleware::{self, Next};
 use axum::routing::{get, post};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Body as _;
 use hyper::service::{Service as _, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, timeout};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::program::Phase;
 use crate::protocol::query::{self, Query, Refusal, Reply};
 use crate::routing::Event;
+use crate::transport::head::{Framing, LINGER, Watched};
 
 /// The longest body that is read, as the protocol states it.
 const BODY_MOST: usize = 64 * 1024;
-/// Time in which a request's head must be whole; also how long a client may keep a connection idle.
-const HEAD_LIMIT: Duration = Duration::from_secs(60);
-/// Time in which a body must be whole once its head is.
-const BODY_LIMIT: Duration = Duration::from_secs(10);
-/// Pause after a failed accept: no descriptor is left, and one takes a while to come back.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The longest head that is read; what is kept of a body at once is as much.
+const HEAD_MOST: usize = 16 * 1024;
+/// Time in which a request's head must be whole, from the connection's start or the answer before: clients may
+/// count on keeping an idle connection for so long.
+const HEAD_LIMIT: Duration = Duration::from_secs(2);
+/// Time in which a body must be whole once its head is. A client is told or closed within three seconds.
+const BODY_LIMIT: Duration = Duration::from_millis(800);
+/// Pause after a failed accept, and between looks for an idle client while all places are taken.
+const ROOM_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which it is told again that all places are taken.
+const TOLD_AGAIN: Duration = Duration::from_secs(1);
 
 /// What every request's handler needs.
 pub struct Front {
@@ -58,10 +67,14 @@
 }
 
 async fn read_body(body: Body) -> Result<Bytes, Refusal> {
+    let too_long = (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Err(too_long);
+    }
     let read = timeout(BODY_LIMIT, Limited::new(body, BODY_MOST).collect()).await;
     match read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come"))? {
         Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")),
+        Err(e) if e.is::<LengthLimitError>() => Err(too_long),
         Err(_) => Err((StatusCode::BAD_REQUEST, "the body is broken")),
     }
 }
@@ -88,11 +101,15 @@
     query::encode(answer.await.unwrap_or(Reply::Aborted))
 }
 
-/// While the program drains, each answer asks its client to connect anew, elsewhere.
+fn ask_to_leave(answer: &mut Response<Body>) {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// While the program closes, each answer asks its client to connect anew, elsewhere.
 async fn drain(State(front): State<Arc<Front>>, request: Request, next: Next) -> Response<Body> {
     let mut answer = next.run(request).await;
-    if *front.phase.borrow() >= Phase::Draining {
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    if *front.phase.borrow() >= Phase::Closing {
+        ask_to_leave(&mut answer);
     }
     answer
 }
@@ -106,36 +123,55 @@
         .with_state(front)
 }
 
-/// Serves one connection until it ends. Once the program closes, or descriptors run short, it ends after
-/// the request it has, or at once where it has none.
-async fn serve(
-    stream: TcpStream, router: Router, mut phase: watch::Receiver<Phase>, mut short: watch::Receiver<()>,
-) {
-    let (asked, router) = (Cell::new(false), TowerToHyperService::new(router));
-    let service = service_fn(|request| {
-        asked.set(true);
-        router.call(request)
+/// Serves one connection until it ends. Once the program closes, or its place is wanted, it ends after the request
+/// it has, or at once where it has none.
+async fn serve(stream: TcpStream, router: Router, mut phase: watch::Receiver<Phase>, place: Place) {
+    let (framing, router) = (Framing::default(), TowerToHyperService::new(router));
+    let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
+        let length = request.body().size_hint().exact();
+        let answering = framing.sound(length).then(|| router.call(request));
+        place.asked();
+        let place = &place;
+        async move {
+            let mut answer = match answering {
+                Some(answering) => answering.await?,
+                None => query::say(StatusCode::BAD_REQUEST, "the body's length is stated twice"),
+            };
+            if length.is_none() || answer.status() == StatusCode::BAD_REQUEST {
+                ask_to_leave(&mut answer);
+            }
+            place.idle();
+            Ok::<_, std::convert::Infallible>(answer)
+        }
     });
     let mut http = hyper::server::conn::http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
-    let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT).max_buf_size(HEAD_MOST);
+    let watched = Watched::new(stream, framing.clone());
+    let mut connection = std::pin::pin!(http.serve_connection(TokioIo::new(watched), service));
     // One that comes when the program closes already is served: its request may be on the way.
     let in_time = *phase.borrow() < Phase::Closing;
     let closing = async {
         tokio::select! {
             _ = phase.wait_for(|phase| *phase == Phase::Closing), if in_time => {}
-            _ = short.changed() => {}
+            () = place.wanted.notified() => {}
         }
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = closing => {
             // The shutdown leaves a connection open that has not asked for anything yet.
-            if !asked.get() {
+            if place.is_new() {
                 return;
             }
             connection.as_mut().graceful_shutdown();
-            connection.await
+            loop {
+                match timeout(LINGER, connection.as_mut()).await {
+                    Ok(ended) => break ended,
+                    // Its last answer is not read.
+                    Err(_) if place.is_idle() => return,
+                    Err(_) => {}
+                }
+            }
         }
     };
     if let Err(e) = ended {
@@ -143,16 +179,69 @@
     }
 }
 
+/// A client's connection among the open ones: whether it has an open request, and since when it has none.
+struct Place {
+    door: Rc<Door>,
+    /// Its number among the idle ones, the longest idle first; none while it has an open request.
+    idle: Cell<Option<u64>>,
+    new: Cell<bool>,
+    wanted: Rc<Notify>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Place {
+    fn new(door: Rc<Door>, permit: OwnedSemaphorePermit) -> Self {
+        let wanted = Rc::new(Notify::new());
+        let place = Place { door, idle: Cell::new(None), new: Cell::new(true), wanted, _permit: permit };
+        place.idle();
+        place
+    }
+
+    fn asked(&self) {
+        self.new.set(false);
+        if let Some(number) = self.idle.take() {
+            self.door.idle.borrow_mut().remove(&number);
+        }
+    }
+
+    fn idle(&self) {
+        let number = self.door.next.replace(self.door.next.get() + 1);
+        self.idle.set(Some(number));
+        self.door.idle.borrow_mut().insert(number, self.wanted.clone());
+    }
+
+    fn is_new(&self) -> bool {
+        self.new.get()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.idle.get().is_some()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.asked();
+    }
+}
+
 /// The open connections and when the last one came.
 pub struct Door {
     permits: Arc<Semaphore>,
     most: usize,
     last: Cell<Instant>,
+    /// Those without an open request, the longest idle first, and the number of the next.
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    next: Cell<u64>,
+    /// When it was last told that all places are taken.
+    told: Cell<Option<Instant>>,
 }
 
 impl Door {
     pub fn new(most: usize) -> Self {
-        Door { permits: Arc::new(Semaphore::new(most)), most, last: Instant::now().into() }
+        let permits = Arc::new(Semaphore::new(most));
+        let (idle, next, told) = Default::default();
+        Door { permits, most, last: Instant::now().into(), idle, next, told }
     }
 
     pub fn open(&self) -> usize {
@@ -163,32 +252,45 @@
         self.last.get().elapsed()
     }
 
-    /// Accepts while there is room. Past it the connections that stand idle are closed, for a client
-    /// that waits here has been accepted by the machine, and counts on an answer.
-    pub async fn run(&self, listener: TcpListener, front: Arc<Front>) {
+    /// Closes the connection that has stood idle for longest.
+    fn make_room(&self) {
+        if self.told.get().is_none_or(|told| told.elapsed() > TOLD_AGAIN) {
+            log::warn!("{} clients are connected: those longest idle are closed", self.open());
+            self.told.set(Some(Instant::now()));
+        }
+        if let Some((_, wanted)) = self.idle.borrow_mut().pop_first() {
+            wanted.notify_one();
+        }
+    }
+
+    /// A place for one more. Where all are taken one that stands idle is closed, for a client that waits here has
+    /// been accepted by the machine, and counts on an answer.
+    async fn place(self: &Rc<Self>) -> Option<Place> {
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.make_room();
+            }
+            if let Ok(permit) = timeout(ROOM_PAUSE, self.permits.clone().acquire_owned()).await {
+                return Some(Place::new(self.clone(), permit.ok()?));
+            }
+        }
+    }
+
+    pub async fn run(self: Rc<Self>, listener: TcpListener, front: Arc<Front>) {
         let phase = front.phase.clone();
         let router = router(front);
-        let short = watch::Sender::new(());
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     self.last.set(Instant::now());
                     let _ = stream.set_nodelay(true);
-                    if self.permits.available_permits() == 0 {
-                        log::warn!("{} clients are connected: idle ones are closed", self.most);
-                        short.send_replace(());
-                    }
-                    let Ok(permit) = self.permits.clone().acquire_owned().await else { return };
-                    let serving = serve(stream, router.clone(), phase.clone(), short.subscribe());
-                    tokio::task::spawn_local(async move {
-                        serving.await;
-                        drop(permit);
-                    });
+                    let Some(place) = self.place().await else { return };
+                    tokio::task::spawn_local(serve(stream, router.clone(), phase.clone(), place));
                 }
                 Err(e) => {
                     log::warn!("no connection could be accepted: {e}");
-                    short.send_replace(());
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    self.make_room();
+                    sleep(ROOM_PAUSE).await;
                 }
             }
         }
--- a/crates/gatherer/src/transport/mod.rs
+++ b/crates/gatherer/src/transport/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod discovery;
 pub mod front;
+mod head;
 pub mod lane;
