A spoilt answer costs no more than its own part, and a good one counts whatever comes with it

Read: a report with a space or with bytes that are no text spoilt its frame (frame::answer); a second copy of an answer closed the connection with others' parts out on it (Pool::answered); a frame said to be longer than it is held its parts until their time was over, or swallowed the next answer into a value. Now a frame with a part that must not run twice shares a connection with no other while another can be had (Pool::send_frame); a frame that has begun and is not whole within a dial's time, an unknown letter and a zero byte in a value end the connection; a second copy retires it. Where all connections are taken the longest idle one makes room, and a server that takes no further connection is served by those it has. Each has a test over sockets or beside the codec; two test worlds no longer share an address, since a port found free was sometimes another's a moment later.

--- a/crates/gatherer/src/protocol/frame.rs
+++ b/crates/gatherer/src/protocol/frame.rs
@@ -1,8 +1,11 @@
 //! Frames to and from shard servers: a length of four bytes, a letter, the rest.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::{Buf, BufMut, BytesMut};
+use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder};
 
 /// The longest frame that is read: one value fits into an answer to a client, which holds as much.
@@ -54,7 +57,11 @@
     }
 }
 
-pub struct Frames;
+/// Reads and writes frames. It may be asked since when a frame has begun to come and is not whole.
+#[derive(Clone, Default)]
+pub struct Frames {
+    pub begun: Rc<Cell<Option<Instant>>>,
+}
 
 impl Encoder<Sent> for Frames {
     type Error = Fault;
@@ -87,38 +94,51 @@
     type Error = Fault;
 
     fn decode(&mut self, bytes: &mut BytesMut) -> Result<Option<Got>, Fault> {
-        let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
-        let length = u32::from_be_bytes(*head) as usize;
-        if length == 0 || length > FRAME_MOST {
-            return Err(Fault::Malformed("bad length"));
-        }
-        if bytes.len() < 4 + length {
-            bytes.reserve(4 + length - bytes.len());
-            return Ok(None);
-        }
-        bytes.advance(4);
-        let frame = bytes.split_to(length);
-        let rest = std::str::from_utf8(&frame[1..]).map_err(|_| Fault::Malformed("not text"))?;
-        match frame[0] {
-            b'R' => answer(rest).map(Some).ok_or(Fault::Malformed("bad answer line")),
-            b'F' => Ok(Some(Got::Unusable(rest.to_owned()))),
-            _ => Err(Fault::Malformed("unknown letter")),
-        }
+        let got = whole(bytes);
+        // A frame stands in its server's writes as one, so that the rest of one that has begun is on its way.
+        let waits = matches!(got, Ok(None)) && !bytes.is_empty();
+        self.begun.set(waits.then(|| self.begun.get().unwrap_or_else(Instant::now)));
+        got
+    }
+}
+
+/// The next frame if it is whole; a fault as soon as it can be none.
+fn whole(bytes: &mut BytesMut) -> Result<Option<Got>, Fault> {
+    let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length == 0 || length > FRAME_MOST {
+        return Err(Fault::Malformed("bad length"));
+    }
+    if bytes.get(4).is_some_and(|letter| !b"RF".contains(letter)) {
+        return Err(Fault::Malformed("unknown letter"));
+    }
+    if bytes.len() < 4 + length {
+        bytes.reserve(4 + length - bytes.len());
+        return Ok(None);
+    }
+    bytes.advance(4);
+    let frame = bytes.split_to(length);
+    let rest = &frame[1..];
+    match frame[0] {
+        b'R' => answer(rest).map(Some).ok_or(Fault::Malformed("bad answer")),
+        _ => Ok(Some(Got::Unusable(String::from_utf8_lossy(rest).into_owned()))),
     }
 }
 
-fn answer(rest: &str) -> Option<Got> {
-    let (line, value) = rest.split_once('\n')?;
-    let mut words = line.split(' ');
-    let id = words.next().filter(|id| !id.is_empty())?.to_owned();
+/// An answer's line and value. Nothing here goes by the score and the report, so that they may hold anything. A value
+/// with a zero byte has run over its end into the next frame, whose length begins with one.
+fn answer(rest: &[u8]) -> Option<Got> {
+    let end = rest.iter().position(|b| *b == b'\n')?;
+    let (line, value) = (&rest[..end], std::str::from_utf8(&rest[end + 1..]).ok()?);
+    let mut words = line.split(|b| *b == b' ');
+    let id = std::str::from_utf8(words.next()?).ok().filter(|id| !id.is_empty())?.to_owned();
     let end = match words.next()? {
-        "done" => End::Done,
-        "failed" => End::Failed,
-        "full" => End::Full,
+        b"done" => End::Done,
+        b"failed" => End::Failed,
+        b"full" => End::Full,
         _ => return None,
     };
-    let (_score, _report) = (words.next()?, words.next()?);
-    words.next().is_none().then(|| Got::Answer { id, end, value: value.to_owned() })
+    (!value.contains('\0')).then(|| Got::Answer { id, end, value: value.to_owned() })
 }
 
 #[cfg(test)]
@@ -129,7 +149,7 @@
 
     fn encoded(frame: Sent) -> BytesMut {
         let mut bytes = BytesMut::new();
-        Frames.encode(frame, &mut bytes).expect("a short frame");
+        Frames::default().encode(frame, &mut bytes).expect("a short frame");
         bytes
     }
 
@@ -145,7 +165,7 @@
     #[test]
     fn answers_are_the_same_however_their_bytes_arrive() {
         fn arrive(cuts: Vec<u8>) -> bool {
-            let rest: [&[u8]; 3] = [b"Ra.0 done 7 -\nv\n1", b"Ra.1 full 7 1,2\n", b"Ra.2 failed - -\n"];
+            let rest: [&[u8]; 3] = [b"Ra.0 done 7 -\nv\n1", b"Ra.1 full 7 {\xff\0 1, 2\n", b"Ra.2 failed\n"];
             let framed = |rest: &&[u8]| [&(rest.len() as u32).to_be_bytes()[..], rest].concat();
             let all: Vec<u8> = rest.iter().flat_map(framed).collect();
             let (mut bytes, mut got, mut at) = (BytesMut::new(), Vec::new(), 0);
@@ -153,7 +173,7 @@
                 let next = (at + cut).min(all.len());
                 bytes.extend_from_slice(&all[at..next]);
                 at = next;
-                while let Some(answer) = Frames.decode(&mut bytes).expect("well formed") {
+                while let Some(answer) = Frames::default().decode(&mut bytes).expect("well formed") {
                     got.push(answer);
                 }
             }
@@ -163,6 +183,29 @@
         QuickCheck::new().rng(Gen::from_size_and_seed(100, 7)).quickcheck(arrive as fn(Vec<u8>) -> bool);
     }
 
+    /// Guards against a value passed on that is not the one made, and against a connection kept of no further use.
+    #[test]
+    fn a_frame_that_can_be_no_answer_is_a_fault_as_soon_as_that_shows() {
+        let spoilt: [&[u8]; 8] = [
+            b"\0\0\0\0",
+            b"\xb3\0\0\0R",
+            b"\0\0\0\x63Z",
+            b"\0\0\0\x08Ra.0 don",
+            b"\0\0\0\x0dRa.0 odd 7 -\n",
+            b"\0\0\0\x0bR done 7 -\n",
+            b"\0\0\0\x10Ra.0 done 7 -\n\xff\xfe",
+            b"\0\0\0\x16Ra.0 done 7 -\nvalue\0\0\0",
+        ];
+        for bytes in spoilt {
+            assert!(matches!(whole(&mut bytes.into()), Err(Fault::Malformed(_))), "{bytes:?}");
+        }
+        let mut frames = Frames::default();
+        let mut bytes = BytesMut::from(&b"\0\0\0\x13Ra.0 done 7 -\nval"[..]);
+        assert!(frames.decode(&mut bytes).is_ok_and(|got| got.is_none()) && frames.begun.get().is_some());
+        bytes.extend_from_slice(b"ue");
+        assert!(frames.decode(&mut bytes).is_ok_and(|got| got.is_some()) && frames.begun.get().is_none());
+    }
+
     /// Guards against a panic or an endless loop on bytes that no server should send.
     #[test]
     fn any_bytes_end_in_frames_a_fault_or_a_wait_for_more() {
@@ -171,7 +214,7 @@
             framed.extend_from_slice(&bytes);
             for mut bytes in [BytesMut::from(&bytes[..]), framed] {
                 let before = bytes.len();
-                while let Ok(Some(_)) = Frames.decode(&mut bytes) {}
+                while let Ok(Some(_)) = Frames::default().decode(&mut bytes) {}
                 if bytes.len() > before {
                     return false;
                 }
--- a/crates/gatherer/src/routing/book.rs
+++ b/crates/gatherer/src/routing/book.rs
@@ -17,6 +17,7 @@
 
 struct Held {
     id: String,
+    vertical: usize,
     text: Arc<str>,
     parts: Vec<Part>,
     /// The client's end.
@@ -40,6 +41,7 @@
 /// What a leaf call of a part carries, and its number.
 pub(super) struct Carried {
     pub(super) number: u32,
+    pub(super) vertical: usize,
     pub(super) id: Arc<str>,
     pub(super) shard: u32,
     pub(super) text: Arc<str>,
@@ -72,26 +74,30 @@
         let parts: Vec<Part> = parts.collect();
         self.count += 1 + parts.len();
         self.ids.insert(came.id.clone());
-        let held = Held { id: came.id, text: came.text, parts, reply, wakes: Vec::new() };
+        let (vertical, text, wakes) = (came.vertical, came.text, Vec::new());
+        let held = Held { id: came.id, vertical, text, parts, reply, wakes };
         self.held.insert(query, held);
     }
 
-    fn part(&mut self, part: u64) -> Option<(&str, &Arc<str>, &mut Part)> {
+    /// The query that a part belongs to, and the part's place there.
+    fn part(&mut self, part: u64) -> Option<(&mut Held, usize)> {
         let (query, held) = self.held.range_mut(..part).next_back()?;
         let at = (part - query - 1) as usize;
-        Some((&held.id, &held.text, held.parts.get_mut(at)?))
+        Some((held, at)).filter(|(held, at)| *at < held.parts.len())
     }
 
     pub(super) fn next_call(&mut self, part: u64) -> Option<Carried> {
-        let (id, text, p) = self.part(part)?;
+        let (held, at) = self.part(part)?;
+        let p = &mut held.parts[at];
         p.calls += 1;
-        let id = format!("{id}.{}", p.shard).into();
-        Some(Carried { number: p.calls - 1, id, shard: p.shard, text: text.clone() })
+        let id = format!("{}.{}", held.id, p.shard).into();
+        let (vertical, text) = (held.vertical, held.text.clone());
+        Some(Carried { number: p.calls - 1, vertical, id, shard: p.shard, text })
     }
 
     pub(super) fn value(&mut self, part: u64, value: String) {
-        if let Some((_, _, p)) = self.part(part) {
-            p.value = Some(value);
+        if let Some((held, at)) = self.part(part) {
+            held.parts[at].value = Some(value);
         }
     }
 
--- a/crates/gatherer/src/routing/send.rs
+++ b/crates/gatherer/src/routing/send.rs
@@ -59,6 +59,8 @@
     out: BTreeMap<Arc<str>, Key>,
     /// Parts given up here, and until when they may still take room.
     late: VecDeque<(Arc<str>, Instant)>,
+    /// The part answered last: a second copy of its answer is one that nobody waits for.
+    answered: Option<Arc<str>>,
     used: Instant,
     heard: Instant,
 }
@@ -68,6 +70,8 @@
     health: Health,
     lanes: Vec<u64>,
     waiting: VecDeque<Key>,
+    /// It took no further connection beside those it has.
+    refuses: bool,
 }
 
 pub(super) struct Pool {
@@ -84,6 +88,8 @@
     most_lanes: usize,
     parts_a_call: usize,
     multiplex: usize,
+    /// By vertical, whether a part must not run twice.
+    runs_once: Vec<bool>,
     dial_limit: Duration,
     idle_limit: Duration,
 }
@@ -135,6 +141,7 @@
             most_lanes,
             parts_a_call: network.parts_a_call.min(network.multiplex),
             multiplex: network.multiplex,
+            runs_once: network.runs_once.clone(),
             dial_limit: network.dial_limit,
             idle_limit: network.idle_limit,
         }
@@ -237,6 +244,15 @@
             let unsent = if waited { Outcome::NeverSent } else { Outcome::Unreachable };
             self.give_up(key, unsent, Outcome::TimedOut);
         }
+        // A frame that has begun and does not go on will bring nothing more, and what is out there ends with it.
+        let stuck = |c: &&mut Connection| {
+            c.lane.reads_since().is_some_and(|since| self.now >= since + self.dial_limit) && !c.retired
+        };
+        for c in self.connections.values_mut().filter(stuck) {
+            log::warn!("a frame from {} does not end: its connection is dropped", c.server);
+            c.retired = true;
+            c.lane.close();
+        }
         if self.now < self.idle_look {
             return;
         }
@@ -258,6 +274,7 @@
                 health: listed.health,
                 lanes: Vec::new(),
                 waiting: VecDeque::new(),
+                refuses: false,
             };
             let s = self.servers.entry(listed.id.as_str().into()).or_insert_with(fresh);
             if s.address != listed.address {
@@ -286,6 +303,7 @@
     pub(super) fn up(&mut self, lane: u64) {
         if let Some(c) = self.connections.get_mut(&lane) {
             (c.up, c.used, c.heard) = (true, self.now, self.now);
+            self.servers.get_mut(&c.server).into_iter().for_each(|s| s.refuses = false);
         }
     }
 
@@ -301,9 +319,10 @@
             self.servers.remove(&c.server);
             return;
         }
-        // A dial that failed fails what waits, unless another one is on its way.
-        let dials = |lane: &u64| self.connections.get(lane).is_some_and(Connection::dialling);
-        if c.dialling() && !s.lanes.iter().any(dials) {
+        // A dial that failed fails what waits, unless another connection is there or on its way.
+        let serves = |lane: &u64| self.connections.get(lane).is_some_and(|c| !c.retired);
+        s.refuses = c.dialling();
+        if c.dialling() && !s.lanes.iter().any(serves) {
             for key in std::mem::take(&mut s.waiting) {
                 self.end(key, Outcome::Unreachable);
             }
@@ -314,19 +333,21 @@
     pub(super) fn answered(&mut self, lane: u64, id: &str, outcome: Outcome) -> Option<Ended> {
         let c = self.connections.get_mut(&lane)?;
         (c.used, c.heard) = (self.now, self.now);
-        let Some(key) = c.out.remove(id) else {
-            match c.late.iter().position(|(late, _)| &**late == id) {
-                Some(at) => {
-                    c.late.remove(at);
-                }
-                None => {
-                    log::warn!("a server answered {id:?}, which was not asked of it here");
-                    c.retired = true;
-                    c.lane.close();
-                }
+        let Some((id, key)) = c.out.remove_entry(id) else {
+            if let Some(at) = c.late.iter().position(|(late, _)| &**late == id) {
+                c.late.remove(at);
+            } else if c.answered.as_deref() == Some(id) {
+                // The answer was good, and so are those that the connection still owes.
+                c.retired = true;
+                c.forget_if_done();
+            } else {
+                log::warn!("a server answered {id:?}, which was not asked of it here");
+                c.retired = true;
+                c.lane.close();
             }
             return None;
         };
+        c.answered = Some(id);
         c.forget_if_done();
         let call = self.drop_call(key)?;
         Some(Ended { key, server: call.server, outcome })
@@ -344,7 +365,7 @@
     }
 
     fn send_frame(&mut self, id: &Rc<str>) -> bool {
-        let Some(s) = self.servers.get_mut(id) else { return false };
+        let Some(s) = self.servers.get(id) else { return false };
         // Two leaf calls of one part never share a connection: their answers look the same.
         let mut keys: Vec<Key> = s.waiting.iter().take(self.parts_a_call).copied().collect();
         if let Some(again) = (1..keys.len()).find(|at| keys[..*at].iter().any(|key| key.0 == keys[*at].0)) {
@@ -352,14 +373,24 @@
         }
         let parts: Vec<&Carried> =
             keys.iter().filter_map(|key| Some(&self.calls.get(key)?.carried)).collect();
+        // What breaks takes all along that is out there, so parts that must not run twice share a connection with no
+        // other frame while another connection can be had.
+        let once = |key: &Key| self.calls.get(key).is_some_and(|c| self.runs_once[c.carried.vertical]);
+        let alone = keys.iter().any(once);
+        let apart = |c: &Connection| if alone { c.out.is_empty() } else { !c.out.values().any(once) };
         let (multiplex, now) = (self.multiplex, self.now);
         let fits = |c: &Connection| {
             c.up && !c.retired
                 && c.room(multiplex, now) >= parts.len()
                 && !parts.iter().any(|p| c.knows(&p.id))
         };
-        let lane = s.lanes.iter().copied().find(|lane| self.connections.get(lane).is_some_and(fits));
+        let find = |fits: &dyn Fn(&Connection) -> bool| {
+            s.lanes.iter().copied().find(|lane| self.connections.get(lane).is_some_and(fits))
+        };
+        let more = s.lanes.len() < self.share() && !s.refuses;
+        let lane = find(&|c| fits(c) && apart(c)).or_else(|| find(&fits).filter(|_| !more));
         let Some(lane) = lane.filter(|_| !keys.is_empty()) else { return false };
+        let Some(s) = self.servers.get_mut(id) else { return false };
         s.waiting.drain(..keys.len());
         let Some(c) = self.connections.get_mut(&lane) else { return false };
         let mut frame = Vec::with_capacity(keys.len());
@@ -382,14 +413,32 @@
         true
     }
 
-    /// Dials for what still waits. Every server has its even share of the connections.
+    /// Every server has its even share of the connections.
+    fn share(&self) -> usize {
+        (self.most_lanes / self.servers.len().max(1)).max(1)
+    }
+
+    /// Closes the connection that has stood idle for longest, where there is one.
+    fn make_room(&mut self) {
+        let idle = |c: &&mut Connection| c.up && !c.retired && c.out.is_empty();
+        if let Some(c) = self.connections.values_mut().filter(idle).min_by_key(|c| c.used) {
+            c.retired = true;
+            c.lane.close();
+        }
+    }
+
+    /// Dials for what still waits.
     fn dial_for(&mut self, id: &Rc<str>) -> bool {
-        let share = (self.most_lanes / self.servers.len().max(1)).max(1);
+        let share = self.share();
         let Some(s) = self.servers.get_mut(id) else { return false };
         let dials = |lane: &&u64| self.connections.get(lane).is_some_and(Connection::dialling);
         let dialling = s.lanes.iter().filter(dials).count();
-        let room = s.lanes.len() < share && self.connections.len() < self.most_lanes;
-        if s.waiting.len() <= dialling * self.multiplex || !room {
+        let refused = s.refuses && !s.lanes.is_empty();
+        if s.waiting.len() <= dialling * self.multiplex || s.lanes.len() >= share || refused {
+            return false;
+        }
+        if self.connections.len() >= self.most_lanes {
+            self.make_room();
             return false;
         }
         let number = self.next_lane;
@@ -403,6 +452,7 @@
             retired: false,
             out: BTreeMap::new(),
             late: VecDeque::new(),
+            answered: None,
             used: self.now,
             heard: self.now,
         };
--- a/crates/gatherer/src/transport/lane.rs
+++ b/crates/gatherer/src/transport/lane.rs
@@ -40,6 +40,7 @@
     writing: RefCell<Vec<Arc<str>>>,
     news: Notify,
     closing: Notify,
+    frames: Frames,
 }
 
 impl Lane {
@@ -78,6 +79,11 @@
         self.outbox.borrow().iter().any(queued) || self.writing.borrow().iter().any(|w| &**w == id)
     }
 
+    /// Since when a frame has begun to come that is not whole yet.
+    pub fn reads_since(&self) -> Option<Instant> {
+        self.frames.begun.get()
+    }
+
     fn next(&self) -> Option<Sent> {
         let parts = match self.outbox.borrow_mut().pop_front()? {
             Out::GiveUp(id) => return Some(Sent::GiveUp(id)),
@@ -105,7 +111,8 @@
         events: &mpsc::Sender<Event>,
     ) -> Result<(), Fault> {
         let (read, write) = tokio::io::split(stream);
-        let (mut read, mut write) = (FramedRead::new(read, Frames), FramedWrite::new(write, Frames));
+        let (mut read, mut write) =
+            (FramedRead::new(read, self.frames.clone()), FramedWrite::new(write, self.frames.clone()));
         let reading = async {
             while let Some(got) = read.next().await {
                 match got? {
--- a/crates/gatherer/tests/clients.rs
+++ b/crates/gatherer/tests/clients.rs
@@ -89,7 +89,7 @@
             let head = "POST /near/a HTTP/1.1\r\nHost: api\r\nReq-Id: outer\r\nReq-Owner: acme";
             let mut client = world.client().await;
             client.send(&format!("{head}\r\nReq-Deadline: 900m\r\n{one}\r\n{two}\r\n\r\n{body}")).await;
-            assert_eq!(client.next().await.expect("an answer").status, 400, "{one}, {two}: {body}");
+            assert_eq!(client.next().await.map(|r| r.status), Some(400), "{one}, {two}: {body}");
             assert!(client.next().await.is_none(), "the connection ends");
         }
     }
--- a/crates/gatherer/tests/common/mod.rs
+++ b/crates/gatherer/tests/common/mod.rs
@@ -48,6 +48,8 @@
     Cut,
     /// Sends these bytes in place of an answer.
     Bytes(&'static [u8]),
+    /// Answers, and sends these bytes, or a second copy where there are none, right behind.
+    More(&'static [u8]),
 }
 
 /// A frame that a shard server got.
@@ -159,6 +161,11 @@
                         Manner::Failed => (Duration::ZERO, answer("failed", "")),
                         Manner::Full => (Duration::ZERO, answer("full", "")),
                         Manner::Bytes(bytes) => (Duration::ZERO, bytes.to_vec()),
+                        Manner::More(bytes) => {
+                            let good = answer("done", &value_of(&id));
+                            let more = if bytes.is_empty() { good.clone() } else { bytes.to_vec() };
+                            (Duration::ZERO, [good, more].concat())
+                        }
                         Manner::Silent => continue,
                         Manner::Cut => return Ok(()),
                     };
@@ -239,10 +246,11 @@
         discovery
     }
 
-    /// Tells a change, or a whole list.
-    pub fn tell(&self, complete: bool, members: Vec<Value>) {
+    /// Tells a change, or a whole list: its revision.
+    pub fn tell(&self, complete: bool, members: Vec<Value>) -> u64 {
         let mut list = self.list.lock().expect("a list");
         *list = (list.0 + 1, complete, members);
+        list.0
     }
 }
 
@@ -371,9 +379,10 @@
             shards.push(Shard::start(*manner).await);
         }
         let discovery = Discovery::start().await;
-        let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let listen = probe.local_addr().expect("its address");
-        drop(probe);
+        let number = WORLDS.fetch_add(1, Ordering::SeqCst);
+        // A loopback address of its own: a port found free on a shared one may be another's a moment later.
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let listen = SocketAddr::from(([127, 1 + high % 127, low, 1 + number as u8], 8443));
         let members = shards.iter().enumerate();
         let members = members.map(|(i, s)| member(&format!("s-{i}"), s.address, i as u32 % 2, "ready", 0));
         let mut config = json!({
@@ -382,7 +391,6 @@
             "known": list(1, true, members.collect()), "settings": settings(),
         });
         change(&mut config);
-        let number = WORLDS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("ashvane-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         std::fs::write(folder.join("config.json"), config.to_string()).expect("a configuration");
@@ -439,6 +447,14 @@
         self.folder.join("config.json").to_str().expect("text").to_owned()
     }
 
+    /// Resident memory, in kB.
+    pub fn memory(&self) -> usize {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("its memory");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
     }
--- a/crates/gatherer/tests/life.rs
+++ b/crates/gatherer/tests/life.rs
@@ -70,6 +70,32 @@
     assert!(moved.parts() == 3 && world.shards[0].parts() == 3);
 }
 
+/// Guards against records kept of servers that are gone: on a long day they are always new.
+#[tokio::test]
+async fn generations_of_servers_leave_nothing_behind() {
+    let world = World::start(&[Manner::Answer; 2]).await.ready().await;
+    let mut client = world.client().await;
+    let mut first = 0;
+    for generation in 0..150 {
+        let address = world.shards[generation % 2].address;
+        let members = (0..500).map(|i| member(&format!("g-{generation}-{i}"), address, i % 2, "ready", 0));
+        let told = world.discovery.tell(true, members.collect());
+        let asked = || world.discovery.after.lock().expect("revisions").last() == Some(&told);
+        until("it has the list", asked).await;
+        let id = format!("q-{generation}");
+        assert_eq!(client.ask(&request("near", &id, 4, "900m")).await.status, 200);
+        if generation == 30 {
+            first = world.memory();
+        }
+    }
+    let grown = world.memory().saturating_sub(first);
+    assert!(
+        grown < 4000 && world.descriptors() < 200,
+        "{grown} kB more, {} descriptors",
+        world.descriptors()
+    );
+}
+
 /// Guards against a gatherer that has only just started and takes a cold server for a warm one.
 #[tokio::test]
 async fn a_server_that_started_before_this_gatherer_did_is_still_cold() {
--- a/crates/gatherer/tests/serving.rs
+++ b/crates/gatherer/tests/serving.rs
@@ -135,6 +135,64 @@
     }
 }
 
+/// Guards against an answer thrown away for what comes with it, and against calls on a connection of no more use.
+#[tokio::test]
+async fn a_good_answer_counts_whatever_comes_with_it() {
+    let report = b"\0\0\0\x01?";
+    for more in [&b""[..], b"\x8f\0noise", report, b"HTTP/1.1 200 OK\r\n"] {
+        let world = World::start(&[Manner::More(more); 2]).await.ready().await;
+        let mut client = world.client().await;
+        for number in 0..4 {
+            let id = format!("more-{number}");
+            let reply = client.ask(&request("book", &id, 1, "1900m")).await;
+            assert_eq!((reply.status, reply.json()["whole"].as_bool()), (200, Some(true)), "with {more:?}");
+            assert_eq!(reply.values(&id), 1);
+        }
+        assert_eq!(world.parts(), 4, "nothing goes twice");
+    }
+}
+
+/// Guards against a wait until the time is over for the rest of a frame that is said to be longer than it is.
+#[tokio::test]
+async fn a_frame_that_does_not_end_ends_its_parts_soon() {
+    let world = World::start(&[Manner::Bytes(b"\0\0\x40\0Rbook"); 2]).await.ready().await;
+    let came = Instant::now();
+    let reply = world.client().await.ask(&request("book", "stuck", 2, "1900m")).await;
+    assert!(reply.status == 502 && came.elapsed() < ms(1000), "it may have run: {reply:?}");
+}
+
+/// Guards against a booking lost for another query's spoilt answer on the same connection.
+#[tokio::test]
+async fn a_spoilt_answer_takes_no_part_along_that_must_not_run_twice() {
+    let world = World::start(&[Manner::Late(ms(400)); 2]).await.ready().await;
+    let (mut booking, mut other) = (world.client().await, world.client().await);
+    booking.send(&request("book", "kept", 2, "1900m")).await;
+    until("it is sent", || world.parts() == 2).await;
+    world.shards.iter().for_each(|s| s.behave(Manner::Bytes(b"\xff\xff\xff\xff noise")));
+    assert_eq!(other.ask(&request("near", "spoilt", 4, "900m")).await.status, 503);
+    let reply = booking.next().await.expect("an answer");
+    assert_eq!((reply.status, reply.values("kept")), (200, 2));
+}
+
+/// Guards against servers that get no connection because others hold them all, idle.
+#[tokio::test]
+async fn where_servers_outnumber_connections_the_longest_idle_one_makes_room() {
+    let world = World::with(&[Manner::Answer; 12], |config| config["limits"]["sockets"] = 72.into())
+        .await
+        .ready()
+        .await;
+    let mut client = world.client().await;
+    for number in 0..30 {
+        let came = Instant::now();
+        let id = format!("room-{number}");
+        let reply = client.ask(&request("book", &id, 2, "1900m")).await;
+        assert_eq!((reply.status, reply.values(&id)), (200, 2));
+        assert!(came.elapsed() < ms(200), "no wait for a connection: {:?}", came.elapsed());
+    }
+    let met = world.shards.iter().filter(|s| s.parts() > 0).count();
+    assert!(met > 4 && world.descriptors() <= 72, "{met} servers");
+}
+
 /// Guards against requests written to a connection that the server is about to close.
 #[tokio::test]
 async fn idle_connections_are_closed_before_the_server_does() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -55,20 +55,23 @@
     }
 }
 
+fn effect(class: &At) -> Result<Effect, String> {
+    match class.get("effect")?.text()? {
+        "retryable" => Ok(Effect::Repeatable),
+        "dedup" => Ok(Effect::Deduplicated(class.get("window_us")?.micros()?)),
+        "fragile" => Ok(Effect::SideEffecting),
+        _ => Err(class.get("effect")?.wrong("a known effect")),
+    }
+}
+
 fn vertical(class: &At, index: usize, fan: &At) -> Result<VerticalSettings, String> {
-    let effect = match class.get("effect")?.text()? {
-        "retryable" => Effect::Repeatable,
-        "dedup" => Effect::Deduplicated(class.get("window_us")?.micros()?),
-        "fragile" => Effect::SideEffecting,
-        _ => return Err(class.get("effect")?.wrong("a known effect")),
-    };
     Ok(VerticalSettings {
         need: fan.get("class_need")?.row(index)?.number()?,
         floor: fan.get("floor_by_class")?.row(index)?.number()?,
         follow_up: fan.get("follow_up")?.row(index)?.count()?,
         slo: class.get("aim_us")?.micros()?,
         late_utility: class.get("late_share")?.number()?,
-        effect,
+        effect: effect(class)?,
     })
 }
 
@@ -121,6 +124,8 @@
 #[derive(Clone, Debug)]
 pub struct Network {
     pub verticals: Vec<String>,
+    /// Whether running a part of a vertical again does harm.
+    pub runs_once: Vec<bool>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub cells: u32,
@@ -153,7 +158,9 @@
     let tenants = root.maybe("projects").map(|t| t.rows()).transpose()?;
     let zones = root.maybe("zones").map(|z| z.rows()).transpose()?.unwrap_or_default();
     let at_least_one = |at: At| Ok::<_, String>(at.count()?.max(1));
+    let once = |c: &At| Ok::<_, String>(effect(c)? == Effect::SideEffecting);
     Ok(Network {
+        runs_once: classes.iter().map(once).collect::<Result<_, _>>()?,
         verticals: names(Some(classes))?,
         tenants: names(tenants)?,
         zones: zones.iter().map(|z| Ok(z.text()?.to_owned())).collect::<Result<_, String>>()?,
