The home bound is the design's four while parts take little of their SLO time

Up to four parts of a query share a home, in its own zone, and the bound of two sent the others across, in a call of their own.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,8 +25,11 @@
 const IMPAIRED_WINDOW: Duration = Duration::from_secs(1);
 /// Spares for each part sent, at least one a second: a query of a dozen parts may meet two bad servers.
 const CAP_SHARE: f64 = 0.25;
-/// Parts out at which a part leaves its home: servers have few cores, and others send them parts too.
-const HOME_BOUND: usize = 2;
+/// Parts out at which a part leaves its home: the design's start value while parts usually take less than this
+/// share of their SLO time. Beyond it queues form: servers have few cores, and others send them parts too.
+const HOME_BOUND: usize = 4;
+const EASY_SHARE: f64 = 0.05;
+const HOME_BOUND_BUSY: usize = 2;
 /// Times the fleet's usual pace at which a server is shunned: more than healthy servers' answers spread.
 const SHUN: f64 = 2.0;
 /// Times the best zone's pace up to which this gatherer's own zone is preferred.
@@ -497,7 +500,8 @@
     /// The replica for a part, with its pace: the home, unless past its bound or shunned; then that with
     /// fewest calls out. A shunned one gets a trial now and then.
     fn place(&self, q: &Query, p: &Part) -> Option<(ServerId, f64)> {
-        let bears = p.calls == 0 && self.verticals[q.vertical].effect != Effect::SideEffecting;
+        let v = &self.verticals[q.vertical];
+        let bears = p.calls == 0 && v.effect != Effect::SideEffecting;
         let cell = |j| self.holders.get(&((p.shard % self.cells + j) % self.cells));
         let holders = (0..self.span).filter_map(cell).flatten().map(|id| (id, &self.servers[id]));
         let near = |s: &Server| s.zone == self.zone && self.zone_pace(s) <= NEAR * self.usual_pace;
@@ -516,7 +520,9 @@
         let fit = |pace: f64| trial(pace) >= 1.0 || (bears && q.luck < trial(pace));
         let fresh = |id: &ServerId| !p.tried.contains(id);
         let &(_, pace, id, s) = replicas.iter().max_by_key(|r| r.0)?;
-        if fit(pace) && s.calls.len() < HOME_BOUND && fresh(id) {
+        let easy = self.expected(q) * self.usual_pace < v.slo.as_secs_f64() * EASY_SHARE;
+        let bound = if easy { HOME_BOUND } else { HOME_BOUND_BUSY };
+        if fit(pace) && s.calls.len() < bound && fresh(id) {
             return Some((id.clone(), pace));
         }
         // A server that has failed this part gets it again only after some usual answers' time.
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use ashvane::{Effect, Outcome, Settings};
 use common::{Stage, ms, number, settings, vertical};
 
@@ -14,9 +16,14 @@
 }
 
 fn warm_up(stage: &mut Stage) {
+    learn(stage, ms(50));
+}
+
+/// Each answer takes so long.
+fn learn(stage: &mut Stage, latency: Duration) {
     for id in (10_000..14_000).step_by(100) {
         stage.query(id, 0, &[0, 1, 2, 3, 4, 5]);
-        stage.pass(ms(50));
+        stage.pass(latency);
         stage.settle_all(|_, c| ended(c.called_off));
         stage.pass(ms(150));
     }
@@ -85,10 +92,16 @@
 #[test]
 fn parts_of_one_key_share_a_home_until_it_is_past_its_bound() {
     let mut stage = Stage::new(Settings { span: 6, ..any(1.0) });
-    stage.query(100, 0, &[0, 1, 2, 3]);
-    let w = stage.world.borrow();
-    let home = &w.calls[0].server;
-    assert_eq!(w.calls.iter().filter(|c| &c.server == home).count(), 2, "the bound is two");
+    let at_home = |stage: &mut Stage, id| {
+        let first = stage.calls();
+        stage.query(id, 0, &[0, 1, 2, 3, 4, 5]);
+        let w = stage.world.borrow();
+        w.calls[first..].iter().filter(|c| c.server == w.calls[first].server).count()
+    };
+    assert_eq!(at_home(&mut stage, 100), 2, "two where parts take a tenth of their time");
+    stage.settle_all(|_, _| Some(Outcome::Completed));
+    learn(&mut stage, ms(20));
+    assert_eq!(at_home(&mut stage, 200), 4, "the design's four where they take little of it");
 }
 
 #[test]
