--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,7 @@
 /// Or sooner, at so many times its usual latency: where a spare is held, and where it must go again itself.
 const LATE_WITH_SPARE: f64 = 1.7;
 const LATE_WITHOUT: f64 = 4.0;
-/// Times its usual latency at which a part past the threshold is lost, not late. In a slowdown of all it never is.
+/// Times its usual latency at which a part past the threshold is lost, not late: never in a slowdown of all.
 const LOST: f64 = 8.0;
 /// Servers that may look impaired at once: the source's number, or this share of those used in a second.
 const IMPAIRED_MOST: f64 = 2.0;
@@ -25,8 +25,8 @@
 const IMPAIRED_WINDOW: Duration = Duration::from_secs(1);
 /// Spares for each part sent, at least one a second: a query of a dozen parts may meet two bad servers.
 const CAP_SHARE: f64 = 0.25;
-/// Parts out at which a part leaves its home: the design's start value while parts usually take less than this
-/// share of their SLO time. Beyond it queues form: servers have few cores, and others send them parts too.
+/// Parts out at which a part leaves its home: the design's start value while parts usually take less than
+/// this share of their SLO time. Beyond it queues form: servers have few cores, and others send them parts.
 const HOME_BOUND: usize = 4;
 const EASY_SHARE: f64 = 0.05;
 const HOME_BOUND_BUSY: usize = 2;
