A connection that falls silent is replaced, while its server may be well

What module and pool believe, written out twice a second, agrees with each other (parts out, calls, queries), but calls went out again and again on connections through which nothing came any more: a connection was given up only once a call had run out of its whole time there (Pool::give_up), and with spares a part is called off after tens of milliseconds. So each trial of a shunned server was lost on the same dead connection. Ruled out: descriptors, slow dials, the servers (others' calls were answered on other connections). Now a connection that was asked and has said nothing for a dial's time gets no new call and is closed once none is out. With it: queries that find no room are told when to come back, as the settings allow.

--- a/crates/gatherer/src/program/mod.rs
+++ b/crates/gatherer/src/program/mod.rs
@@ -28,7 +28,7 @@
 const LONGEST_MOST: Duration = Duration::from_secs(3);
 /// Beyond the longest deadline, what is open is given up; a program is killed no sooner than 0.7 s beyond it.
 const LAST_MARGIN: Duration = Duration::from_millis(500);
-/// Share of the time until then in which clients are served on as before: perhaps nobody else is there for them.
+/// Share of the time until then in which clients are served on as before: perhaps nobody else is there.
 const SERVED_SHARE: f64 = 0.6;
 /// Time for the last answers to be written.
 const LAST_WRITES: Duration = Duration::from_millis(100);
--- a/crates/gatherer/src/protocol/frame.rs
+++ b/crates/gatherer/src/protocol/frame.rs
@@ -125,8 +125,8 @@
     }
 }
 
-/// An answer's line and value. Nothing here goes by the score and the report, so they may hold anything. A value
-/// with a zero byte has run over its end into the next frame, whose length begins with one.
+/// An answer's line and value. Nothing here goes by the score and the report, so they may hold anything. A
+/// value with a zero byte has run over its end into the next frame, whose length begins with one.
 fn answer(rest: &[u8]) -> Option<Got> {
     let end = rest.iter().position(|b| *b == b'\n')?;
     let (line, value) = (&rest[..end], std::str::from_utf8(&rest[end + 1..]).ok()?);
@@ -183,7 +183,7 @@
         QuickCheck::new().rng(Gen::from_size_and_seed(100, 7)).quickcheck(arrive as fn(Vec<u8>) -> bool);
     }
 
-    /// Guards against a value passed on that is not the one made, and against a connection kept of no further use.
+    /// Guards against a value passed on that is not the one made, and a connection kept of no further use.
     #[test]
     fn a_frame_that_can_be_no_answer_is_a_fault_as_soon_as_that_shows() {
         let spoilt: [&[u8]; 8] = [
--- a/crates/gatherer/src/routing/mod.rs
+++ b/crates/gatherer/src/routing/mod.rs
@@ -67,6 +67,8 @@
     clock: Clock,
     tick: Duration,
     now: Instant,
+    /// When those who find no room may come back.
+    back_after: Option<Duration>,
     next_id: u64,
     book: Book,
     pool: Pool,
@@ -91,6 +93,7 @@
             clock: Clock { unix, start: now },
             tick: settings.tick,
             now,
+            back_after: settings.back_after,
             next_id: 0,
             book: Book::new(network.most_held),
             pool: Pool::new(network, most_lanes, events),
--- a/crates/gatherer/src/routing/send.rs
+++ b/crates/gatherer/src/routing/send.rs
@@ -62,7 +62,8 @@
     /// The part answered last: a second copy of its answer is one that nobody waits for.
     answered: Option<Arc<str>>,
     used: Instant,
-    heard: Instant,
+    /// Since when it has been asked and has said nothing.
+    quiet: Option<Instant>,
 }
 
 struct Server {
@@ -105,6 +106,12 @@
         self.out.contains_key(id) || self.late.iter().any(|(late, _)| &**late == id)
     }
 
+    /// Whether it has said nothing for longer than a dial may take although it was asked: perhaps nothing comes
+    /// through it any more, while the server is well.
+    fn silent(&self, now: Instant, dial_limit: Duration) -> bool {
+        self.quiet.is_some_and(|since| now >= since + dial_limit)
+    }
+
     /// Whether calls may go out on it once it is up.
     fn dialling(&self) -> bool {
         !self.up && !self.retired
@@ -209,7 +216,7 @@
             return;
         }
         let Some(call) = self.calls.get(&key) else { return };
-        let (id, until, since) = (call.carried.id.clone(), call.until, call.since);
+        let (id, until) = (call.carried.id.clone(), call.until);
         if let Some(c) = call.lane.and_then(|lane| self.connections.get_mut(&lane)) {
             c.out.remove(&id);
             c.lane.give_up(id.clone());
@@ -217,8 +224,7 @@
             if c.late.len() > self.multiplex * LATE_TIMES {
                 c.late.pop_front();
             }
-            // A connection that stays silent for a whole call is taken for a dead one.
-            c.retired |= sent == Outcome::TimedOut && c.heard <= since;
+            c.retired |= c.silent(self.now, self.dial_limit);
             c.forget_if_done();
         }
         self.end(key, sent);
@@ -244,7 +250,7 @@
             let unsent = if waited { Outcome::NeverSent } else { Outcome::Unreachable };
             self.give_up(key, unsent, Outcome::TimedOut);
         }
-        // A frame that has begun and does not go on will bring nothing more, and what is out there ends with it.
+        // A frame that has begun and does not go on brings nothing more, and what is out there ends with it.
         let stuck = |c: &&mut Connection| {
             c.lane.reads_since().is_some_and(|since| self.now >= since + self.dial_limit) && !c.retired
         };
@@ -253,6 +259,10 @@
             c.retired = true;
             c.lane.close();
         }
+        for c in self.connections.values_mut().filter(|c| c.out.is_empty()) {
+            c.retired |= c.silent(self.now, self.dial_limit);
+            c.forget_if_done();
+        }
         if self.now < self.idle_look {
             return;
         }
@@ -302,7 +312,7 @@
 
     pub(super) fn up(&mut self, lane: u64) {
         if let Some(c) = self.connections.get_mut(&lane) {
-            (c.up, c.used, c.heard) = (true, self.now, self.now);
+            (c.up, c.used) = (true, self.now);
             self.servers.get_mut(&c.server).into_iter().for_each(|s| s.refuses = false);
         }
     }
@@ -332,8 +342,9 @@
     /// Finds the leaf call that an answer belongs to; none if it was given up before.
     pub(super) fn answered(&mut self, lane: u64, id: &str, outcome: Outcome) -> Option<Ended> {
         let c = self.connections.get_mut(&lane)?;
-        (c.used, c.heard) = (self.now, self.now);
-        let Some((id, key)) = c.out.remove_entry(id) else {
+        let asked = c.out.remove_entry(id);
+        (c.used, c.quiet) = (self.now, Some(self.now).filter(|_| !c.out.is_empty()));
+        let Some((id, key)) = asked else {
             if let Some(at) = c.late.iter().position(|(late, _)| &**late == id) {
                 c.late.remove(at);
             } else if c.answered.as_deref() == Some(id) {
@@ -373,14 +384,16 @@
         }
         let parts: Vec<&Carried> =
             keys.iter().filter_map(|key| Some(&self.calls.get(key)?.carried)).collect();
-        // What breaks takes all along that is out there, so parts that must not run twice share a connection with no
-        // other frame while another connection can be had.
+        // What breaks takes all along that is out there, so parts that must not run twice share a connection
+        // with no other frame while another connection can be had.
         let once = |key: &Key| self.calls.get(key).is_some_and(|c| self.runs_once[c.carried.vertical]);
         let alone = keys.iter().any(once);
         let apart = |c: &Connection| if alone { c.out.is_empty() } else { !c.out.values().any(once) };
         let (multiplex, now) = (self.multiplex, self.now);
+        let dial_limit = self.dial_limit;
         let fits = |c: &Connection| {
             c.up && !c.retired
+                && !c.silent(now, dial_limit)
                 && c.room(multiplex, now) >= parts.len()
                 && !parts.iter().any(|p| c.knows(&p.id))
         };
@@ -409,6 +422,7 @@
             });
         }
         c.used = self.now;
+        c.quiet.get_or_insert(self.now);
         c.lane.call(frame);
         true
     }
@@ -454,7 +468,7 @@
             late: VecDeque::new(),
             answered: None,
             used: self.now,
-            heard: self.now,
+            quiet: None,
         };
         self.connections.insert(number, connection);
         tokio::task::spawn_local(lane.run(number, s.address, self.dial_limit, self.events.clone()));
--- a/crates/gatherer/src/routing/take_in.rs
+++ b/crates/gatherer/src/routing/take_in.rs
@@ -12,7 +12,7 @@
         if self.book.holds(&query.id) {
             let _ = reply.send(Reply::Unheld(StatusCode::CONFLICT, "a query of this id is held"));
         } else if !self.book.has_room(1 + query.parts.len()) {
-            let _ = reply.send(Reply::Rejected(None));
+            let _ = reply.send(Reply::Rejected(self.back_after));
         } else {
             self.admit(query, arrived, reply);
         }
--- a/crates/gatherer/src/transport/front.rs
+++ b/crates/gatherer/src/transport/front.rs
@@ -34,8 +34,8 @@
 const HEAD_MOST: usize = 16 * 1024;
 /// Time in which a new connection's first head must be whole.
 const HEAD_LIMIT: Duration = Duration::from_secs(2);
-/// The same for later ones, from the answer before. A client that has asked keeps its connection while there are
-/// places: in a restart it may have no other way to a gatherer.
+/// The same for later ones, from the answer before. A client that has asked keeps its connection while there
+/// are places: in a restart it may have no other way to a gatherer.
 const KEEP_LIMIT: Duration = Duration::from_secs(60);
 /// Time in which a body must be whole once its head is. A client is told or closed within three seconds.
 const BODY_LIMIT: Duration = Duration::from_millis(800);
@@ -125,8 +125,8 @@
         .with_state(front)
 }
 
-/// Serves one connection until it ends. Once the program closes, or its place is wanted, it ends after the request
-/// it has, or at once where it has none.
+/// Serves one connection until it ends. Once the program closes, or its place is wanted, it ends after the
+/// request it has, or at once where it has none.
 async fn serve(stream: TcpStream, router: Router, mut phase: watch::Receiver<Phase>, place: Place) {
     let (framing, router) = (Framing::default(), TowerToHyperService::new(router));
     let service = service_fn(|request: hyper::Request<hyper::body::Incoming>| {
@@ -274,8 +274,8 @@
         }
     }
 
-    /// A place for one more. Where all are taken one that stands idle is closed, for a client that waits here has
-    /// been accepted by the machine, and counts on an answer.
+    /// A place for one more. Where all are taken one that stands idle is closed, for a client that waits here
+    /// has been accepted by the machine, and counts on an answer.
     async fn place(self: &Rc<Self>) -> Option<Place> {
         loop {
             if self.permits.available_permits() == 0 {
--- a/crates/gatherer/src/transport/head.rs
+++ b/crates/gatherer/src/transport/head.rs
@@ -1,6 +1,7 @@
-//! A client's bytes on their way to HTTP, which is handed no byte past a head before it has said what belongs to that
-//! request. Of two headers that contradict each other on a body's length HTTP's reader keeps one and serves the
-//! request; both are seen here. It also sees to it that a client can read why its request was not read to the end.
+//! A client's bytes on their way to HTTP, which is handed no byte past a head before it has said what belongs
+//! to that request. Of two headers that contradict each other on a body's length HTTP's reader keeps one and
+//! serves the request; both are seen here. It also sees to it that a client can read why its request was not
+//! read to the end.
 
 use std::cell::RefCell;
 use std::io;
@@ -15,7 +16,7 @@
 
 /// Bytes of a line that are kept: as many as tell the names that matter from all others.
 const LINE_KEPT: usize = 32;
-/// Bytes and time for what a client still sends after its answer: unread, they would take the answer with them.
+/// Bytes and time for what a client still sends after its answer: unread, they would take the answer along.
 const LINGER_MOST: usize = 256 * 1024;
 pub const LINGER: Duration = Duration::from_millis(300);
 
@@ -92,8 +93,8 @@
 pub struct Framing(Rc<RefCell<Next>>);
 
 impl Framing {
-    /// A request is served whose body has this length; none if it comes in chunks. False if its head says more
-    /// than one thing about that.
+    /// A request is served whose body has this length; none if it comes in chunks. False if its head says
+    /// more than one thing about that.
     pub fn sound(&self, length: Option<u64>) -> bool {
         let mut next = self.0.borrow_mut();
         let sound = matches!(*next, Next::Unsaid { framings: 0 | 1 });
@@ -177,7 +178,7 @@
 
     use super::*;
 
-    /// Reads as HTTP does, from bytes that come in these cuts: each head, then its body; whether all were sound.
+    /// Reads as HTTP does, from bytes that come in these cuts: each head, then its body; were all sound?
     async fn heads(bytes: &[u8], cuts: &[u8], bodies: &[u64]) -> (Vec<usize>, bool) {
         let (near, mut far) = tokio::io::duplex(bytes.len().max(1));
         let writing = async {
--- a/crates/gatherer/tests/clients.rs
+++ b/crates/gatherer/tests/clients.rs
@@ -181,6 +181,7 @@
             let came = Instant::now();
             let reply = client.ask(&request("near", &format!("held-{number}"), 4, "700m")).await;
             assert_eq!(reply.status, 503, "nothing came, and nothing was promised: {reply:?}");
+            assert!(reply.head.contains("retry-after: 0."), "with a time to come back: {reply:?}");
             came.elapsed()
         });
     }
