Reread: one formula for times the usual latency, one way to end a connection of no more use

The module worked out so many times a part's usual latency twice (overdue_at, overdue); usual_times does it for both, in the same order of factors. Three places in the pool set a connection retired and closed it at once: Connection::end does. What is looked for at each connection every turn is one pass now.

--- a/crates/gatherer/src/routing/send.rs
+++ b/crates/gatherer/src/routing/send.rs
@@ -106,8 +106,8 @@
         self.out.contains_key(id) || self.late.iter().any(|(late, _)| &**late == id)
     }
 
-    /// Whether it has said nothing for longer than a dial may take although it was asked: perhaps nothing comes
-    /// through it any more, while the server is well.
+    /// Whether it has said nothing for longer than a dial may take although it was asked: perhaps nothing
+    /// comes through it any more, while the server is well.
     fn silent(&self, now: Instant, dial_limit: Duration) -> bool {
         self.quiet.is_some_and(|since| now >= since + dial_limit)
     }
@@ -117,6 +117,12 @@
         !self.up && !self.retired
     }
 
+    /// Is of no more use: ends at once, and with it what is out on it.
+    fn end(&mut self) {
+        self.retired = true;
+        self.lane.close();
+    }
+
     fn forget_if_done(&self) {
         if self.retired && self.out.is_empty() {
             self.lane.close();
@@ -250,18 +256,16 @@
             let unsent = if waited { Outcome::NeverSent } else { Outcome::Unreachable };
             self.give_up(key, unsent, Outcome::TimedOut);
         }
-        // A frame that has begun and does not go on brings nothing more, and what is out there ends with it.
-        let stuck = |c: &&mut Connection| {
-            c.lane.reads_since().is_some_and(|since| self.now >= since + self.dial_limit) && !c.retired
-        };
-        for c in self.connections.values_mut().filter(stuck) {
-            log::warn!("a frame from {} does not end: its connection is dropped", c.server);
-            c.retired = true;
-            c.lane.close();
-        }
-        for c in self.connections.values_mut().filter(|c| c.out.is_empty()) {
-            c.retired |= c.silent(self.now, self.dial_limit);
-            c.forget_if_done();
+        for c in self.connections.values_mut() {
+            let since = c.lane.reads_since().filter(|_| !c.retired);
+            if since.is_some_and(|since| self.now >= since + self.dial_limit) {
+                // A frame that has begun and does not go on brings nothing more.
+                log::warn!("a frame from {} does not end: its connection is dropped", c.server);
+                c.end();
+            } else if c.out.is_empty() {
+                c.retired |= c.silent(self.now, self.dial_limit);
+                c.forget_if_done();
+            }
         }
         if self.now < self.idle_look {
             return;
@@ -353,8 +357,7 @@
                 c.forget_if_done();
             } else {
                 log::warn!("a server answered {id:?}, which was not asked of it here");
-                c.retired = true;
-                c.lane.close();
+                c.end();
             }
             return None;
         };
@@ -436,8 +439,7 @@
     fn make_room(&mut self) {
         let idle = |c: &&mut Connection| c.up && !c.retired && c.out.is_empty();
         if let Some(c) = self.connections.values_mut().filter(idle).min_by_key(|c| c.used) {
-            c.retired = true;
-            c.lane.close();
+            c.end();
         }
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -655,12 +655,17 @@
         false
     }
 
+    /// So many times a part's usual latency at the fleet's usual pace.
+    fn usual_times(&self, q: &Query, times: f64) -> Duration {
+        Duration::from_secs_f64(times * self.usual_pace * self.expected(q))
+    }
+
     /// When a part that is out falls overdue, unless it has its spare.
     fn overdue_at(&self, q: &Query, p: &Part) -> Option<Duration> {
         let held = q.parts.iter().any(|p| p.calls == 0);
         let times = if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
-        let usual = Duration::from_secs_f64(times * self.usual_pace * self.expected(q));
-        let due = p.last_sent.max(self.awake) + self.verticals[q.vertical].slo.mul_f64(THRESHOLD).min(usual);
+        let threshold = self.verticals[q.vertical].slo.mul_f64(THRESHOLD);
+        let due = p.last_sent.max(self.awake) + threshold.min(self.usual_times(q, times));
         Some(due).filter(|_| p.out > 0 && !p.done && !p.spared)
     }
 
@@ -673,9 +678,8 @@
             s.impaired = s.impaired.max(Some(due));
         }
         // A lost part is like a failed one, which neither breaker nor cap holds back.
-        let usual = Duration::from_secs_f64(LOST * self.usual_pace * self.expected(q));
-        let lost = self.verticals[q.vertical].slo.mul_f64(THRESHOLD).max(usual);
-        let lost = self.now >= p.last_sent.max(self.awake) + lost;
+        let threshold = self.verticals[q.vertical].slo.mul_f64(THRESHOLD);
+        let lost = self.now >= p.last_sent.max(self.awake) + threshold.max(self.usual_times(q, LOST));
         let impaired = self.servers.values().filter(|s| s.impaired > Some(since)).count();
         let used = self.sends.at(self.now).min(self.servers.len() as f64);
         let many = impaired as f64 > (used * IMPAIRED_SHARE).max(IMPAIRED_MOST);
