ashvane-rehearse: many processes, relays between them that break, histories checked

Need: how many processes behave together under failure is what users judge by, and nothing started more than one.

--- a/crates/lab/src/bin/ashvane-soak.rs
+++ b/crates/lab/src/bin/ashvane-soak.rs
@@ -41,6 +41,8 @@
 const WARM_UP: Duration = Duration::from_secs(10);
 /// Time for the program to end by itself.
 const END_MOST: Duration = Duration::from_secs(8);
+/// Share of its parts that a whole answer has at the least, whatever its vertical.
+const NEED: f64 = 0.75;
 const SERVERS: usize = 6;
 const CELLS: usize = 3;
 
@@ -173,16 +175,19 @@
         id: format!("q{number}"),
         vertical: if rng.u32(..10) == 0 { "book" } else { "near" },
         tenant: if rng.u32(..10) == 0 { "quiet" } else { "loud" },
-        parts: rng.u32(1..=16),
+        shards: (0..rng.u32(1..=16)).collect(),
+        need: NEED,
         length,
         deadline: Duration::from_millis(1500),
+        retry: false,
     }
 }
 
 /// The same small query each time.
 fn plain(number: u64) -> Ask {
     let (id, deadline) = (format!("q{number}"), Duration::from_millis(1500));
-    Ask { id, vertical: "near", tenant: "loud", parts: 8, length: 64, deadline }
+    let shards = (0..8).collect();
+    Ask { id, vertical: "near", tenant: "loud", shards, need: NEED, length: 64, deadline, retry: false }
 }
 
 /// Processor time of the program so far, in clock ticks: hundredths of a second.
@@ -246,9 +251,11 @@
                     id,
                     vertical: "near",
                     tenant: "loud",
-                    parts: 16,
+                    shards: (0..16).collect(),
+                    need: NEED,
                     length: 60_000,
                     deadline: Duration::from_millis(1500),
+                    retry: false,
                 };
                 clients::trickle(listen, ask, Duration::from_secs(20), &odd).await;
                 sleep(Duration::from_millis(200)).await;
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::history::End;
 use crate::value_of;
 
 /// Time beyond its deadline for which a client looks for its answer, so that one that is lost shows.
@@ -32,10 +33,29 @@
     pub id: String,
     pub vertical: &'static str,
     pub tenant: &'static str,
-    pub parts: u32,
+    /// The shards that it has parts for.
+    pub shards: Vec<u32>,
+    /// The share of its parts that a whole answer has.
+    pub need: f64,
     /// How long each part's value is to be.
     pub length: usize,
     pub deadline: Duration,
+    /// A client's further try.
+    pub retry: bool,
+}
+
+/// What a client got: how it ended, the shards whose values are in, and when to come back.
+#[derive(Debug)]
+pub struct Got {
+    pub end: End,
+    pub shards: Box<[u16]>,
+    pub back_after: Option<Duration>,
+}
+
+impl From<End> for Got {
+    fn from(end: End) -> Got {
+        Got { end, shards: Box::default(), back_after: None }
+    }
 }
 
 #[derive(Deserialize)]
@@ -74,16 +94,17 @@
 
 impl Ask {
     fn body(&self) -> String {
-        let part = |shard| json!({"partition": shard, "share": 1.0 / f64::from(self.parts)});
-        let targets: Vec<_> = (0..self.parts).map(part).collect();
-        json!({"targets": targets, "query": format!("length={}", self.length)}).to_string()
+        let part = |shard| json!({"partition": shard, "share": 1.0 / self.shards.len() as f64});
+        let targets: Vec<_> = self.shards.iter().map(part).collect();
+        json!({"targets": targets, "query": format!("{} length={}", self.vertical, self.length)}).to_string()
     }
 
     fn is_true(&self, answer: &Answer) -> bool {
         let good = |v: &Value| v.value == value_of(&format!("{}.{}", self.id, v.partition), self.length);
         let shards: std::collections::BTreeSet<u32> = answer.results.iter().map(|v| v.partition).collect();
-        let whole = !answer.whole || shards.len() * 4 >= self.parts as usize * 3;
-        whole && shards.len() == answer.results.len() && answer.results.iter().all(good)
+        let whole = !answer.whole || shards.len() as f64 >= self.shards.len() as f64 * self.need - 1e-9;
+        let asked = shards.iter().all(|shard| self.shards.contains(shard));
+        whole && asked && shards.len() == answer.results.len() && answer.results.iter().all(good)
     }
 
     /// The request as bytes, for clients that read it in ways of their own.
@@ -110,45 +131,62 @@
 }
 
 /// A client that asks, reads and checks.
-pub async fn ask(pool: &Pool, at: SocketAddr, ask: Ask, counts: &Counts) {
-    count(&counts.asked);
-    let began = Instant::now();
+pub async fn get(pool: &Pool, at: SocketAddr, ask: &Ask) -> Got {
     let request = Request::post(format!("http://{at}/{}/{}", ask.vertical, ask.id))
         .header("Req-Id", &ask.id)
         .header("Req-Owner", ask.tenant)
-        .header("Req-Deadline", format!("{}m", ask.deadline.as_millis()))
-        .body(Full::new(Bytes::from(ask.body())));
-    let Ok(request) = request else { return count(&counts.false_answers) };
+        .header("Req-Deadline", format!("{}m", ask.deadline.as_millis()));
+    let request = if ask.retry { request.header("Req-Retry", "1") } else { request };
+    let Ok(request) = request.body(Full::new(Bytes::from(ask.body()))) else { return End::False.into() };
     let asking = async {
-        let answer = pool.request(request).await.ok()?;
+        let answer = pool.request(request).await.map_err(|e| e.is_connect())?;
         let (head, body) = answer.into_parts();
-        Some((head, body.collect().await.ok()?.to_bytes()))
+        Ok((head, body.collect().await.map_err(|_| false)?.to_bytes()))
     };
-    match timeout(ask.deadline + LOST_AFTER, asking).await {
-        Err(_) => count(&counts.lost),
-        Ok(None) => count(&counts.closed),
-        Ok(Some((head, body))) => {
-            if let Ok(mut latency) = counts.latency.lock() {
-                let fresh = || Histogram::new(3).expect("three digits");
-                latency.get_or_insert_with(fresh).record(began.elapsed().as_micros() as u64).ok();
-            }
-            match head.status.as_u16() {
-                200 => match serde_json::from_slice::<Answer>(&body) {
-                    Ok(answer) if ask.is_true(&answer) => {
-                        count(if answer.whole { &counts.whole } else { &counts.partial });
-                    }
-                    _ => count(&counts.false_answers),
-                },
-                429 | 503 => {
-                    count(&counts.rejected);
-                    if !head.headers.contains_key("retry-after") {
-                        count(&counts.bare);
-                    }
-                }
-                502 => count(&counts.aborted),
-                _ => count(&counts.false_answers),
+    let (head, body) = match timeout(ask.deadline + LOST_AFTER, asking).await {
+        Err(_) => return End::Lost.into(),
+        Ok(Err(unreached)) => return if unreached { End::Unreached } else { End::Closed }.into(),
+        Ok(Ok(answer)) => answer,
+    };
+    let back_after = head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+    let back_after = back_after.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    match head.status.as_u16() {
+        200 => match serde_json::from_slice::<Answer>(&body) {
+            Ok(answer) if ask.is_true(&answer) => {
+                let shards = answer.results.iter().map(|v| v.partition as u16).collect();
+                Got { end: if answer.whole { End::Whole } else { End::Partial }, shards, back_after: None }
             }
-        }
+            _ => End::False.into(),
+        },
+        429 | 503 => Got { back_after, ..End::Rejected.into() },
+        502 => End::Aborted.into(),
+        _ => End::False.into(),
+    }
+}
+
+/// The same, counted.
+pub async fn ask(pool: &Pool, at: SocketAddr, ask: Ask, counts: &Counts) {
+    count(&counts.asked);
+    let began = Instant::now();
+    let got = get(pool, at, &ask).await;
+    let counter = match got.end {
+        End::Whole => &counts.whole,
+        End::Partial => &counts.partial,
+        End::Rejected => &counts.rejected,
+        End::Aborted => &counts.aborted,
+        End::Unreached | End::Closed => &counts.closed,
+        End::Lost => &counts.lost,
+        End::False => &counts.false_answers,
+    };
+    count(counter);
+    if got.end == End::Rejected && got.back_after.is_none() {
+        count(&counts.bare);
+    }
+    if !matches!(got.end, End::Unreached | End::Closed | End::Lost)
+        && let Ok(mut latency) = counts.latency.lock()
+    {
+        let fresh = || Histogram::new(3).expect("three digits");
+        latency.get_or_insert_with(fresh).record(began.elapsed().as_micros() as u64).ok();
     }
 }
 
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// What a shard server does with parts.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Manner {
     /// Answers within some milliseconds.
     Well,
     /// Answers this much later.
-    Slow(Duration),
+    Slow(#[serde(with = "in_ms")] Duration),
     /// Takes parts and answers none.
     Silent,
     /// Answers each with an error.
@@ -21,6 +24,25 @@
     HoldsLast,
     /// Sends half an answer and then nothing more.
     Half,
+    /// Answers with a value that is not the part's.
+    Spoilt,
+    /// Runs each part twice: a fault of the stand-in, to see that checkers find it.
+    Twice,
+}
+
+/// A time in whole milliseconds.
+mod in_ms {
+    use std::time::Duration;
+
+    use serde::{Deserialize as _, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(time: &Duration, out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_u64(time.as_millis() as u64)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
+        u64::deserialize(from).map(Duration::from_millis)
+    }
 }
 
 /// One trouble: these servers, in this part of each cycle.
--- /dev/null
+++ b/crates/lab/src/history.rs
@@ -0,0 +1,227 @@
+//! What happened in a rehearsal, on one time line: clients, stand-ins, relays and processes all tell it here, by
+//! the machine's monotonic clock.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::node::Node;
+
+/// Events that are kept at the most: some hundred MB. A run that has more is not measured.
+const EVENTS_MOST: usize = 3_000_000;
+
+/// How a query ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum End {
+    Whole,
+    Partial,
+    Rejected,
+    Aborted,
+    /// No connection to the gatherer came up: it never had the query.
+    Unreached,
+    /// The connection ended with no whole answer.
+    Closed,
+    /// No answer long after the deadline.
+    Lost,
+    /// An answer that no stand-in's values make.
+    False,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(tag = "what", rename_all = "kebab-case")]
+pub enum What {
+    /// A fault begins or ends between two, in the direction of the bytes that are hit or in both.
+    Faulted {
+        from: Node,
+        to: Node,
+    },
+    Mended {
+        from: Node,
+        to: Node,
+    },
+    /// A stand-in begins or ends to misbehave, or the list service does.
+    Troubled {
+        node: Node,
+        on: bool,
+    },
+    Started {
+        node: Node,
+    },
+    Ready {
+        node: Node,
+    },
+    /// A signal that the rig sends: TERM, KILL, STOP, CONT.
+    Signalled {
+        node: Node,
+        signal: &'static str,
+    },
+    Exited {
+        node: Node,
+        well: bool,
+        status: String,
+    },
+    /// A line of a process's own log.
+    Logged {
+        node: Node,
+        line: String,
+    },
+    Asked {
+        query: u64,
+        node: Node,
+        vertical: u8,
+        retry: bool,
+    },
+    Ended {
+        query: u64,
+        end: End,
+        shards: Box<[u16]>,
+    },
+    /// A leaf call of a query's part begins to run at a shard server.
+    Ran {
+        server: Node,
+        from: Node,
+        query: u64,
+        shard: u16,
+        vertical: u8,
+    },
+    /// It was turned away.
+    Full {
+        server: Node,
+        from: Node,
+    },
+    /// A shard server got more than it can take and does nothing for a while.
+    Fell {
+        server: Node,
+        cold: bool,
+    },
+    /// A connection is opened, and ended with so many bytes sent by the one who opened it.
+    Dialled {
+        from: Node,
+        to: Node,
+    },
+    Hung {
+        from: Node,
+        to: Node,
+        bytes: u64,
+    },
+    /// The list service was called, and answered so (0: not at all).
+    Listed {
+        from: Node,
+        status: u16,
+        revision: u64,
+    },
+    /// It wrote to a gatherer that a server is not ready any more.
+    ToldDrain {
+        to: Node,
+        server: Node,
+    },
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Event {
+    /// Seconds since the rehearsal's start are what is written; here it is exact.
+    #[serde(rename = "at_us", serialize_with = "micros")]
+    pub at: Duration,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+fn micros<S: serde::Serializer>(at: &Duration, out: S) -> Result<S::Ok, S::Error> {
+    out.serialize_u64(at.as_micros() as u64)
+}
+
+/// The events in the order in which they were told, which is that of time.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    pub events: Vec<Event>,
+    /// Told when there was no room any more.
+    pub left_out: u64,
+}
+
+impl History {
+    /// As one JSON object a line.
+    pub fn write(&self, mut out: impl std::io::Write) -> std::io::Result<()> {
+        for event in &self.events {
+            serde_json::to_writer(&mut out, event)?;
+            out.write_all(b"\n")?;
+        }
+        Ok(())
+    }
+}
+
+/// What everyone tells.
+#[derive(Clone)]
+pub struct Recorder {
+    most: usize,
+    told: Arc<Mutex<Told>>,
+}
+
+struct Told {
+    start: Instant,
+    history: History,
+}
+
+impl Recorder {
+    pub fn new(start: Instant) -> Recorder {
+        Recorder {
+            most: EVENTS_MOST,
+            told: Arc::new(Mutex::new(Told { start, history: History::default() })),
+        }
+    }
+
+    fn told(&self) -> MutexGuard<'_, Told> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn note(&self, what: What) {
+        let mut told = self.told();
+        // The time is read under the lock: the order of the events is that of their times.
+        let at = told.start.elapsed();
+        match told.history.events.len() < self.most {
+            true => told.history.events.push(Event { at, what }),
+            false => told.history.left_out += 1,
+        }
+    }
+
+    /// Time begins now: of what was before, only who runs is kept, as of now.
+    pub fn zero(&self) {
+        let mut told = self.told();
+        told.start = Instant::now();
+        told.history.events.retain(|e| matches!(e.what, What::Started { .. }));
+        told.history.events.iter_mut().for_each(|e| e.at = Duration::ZERO);
+    }
+
+    /// All so far.
+    pub fn take(&self) -> History {
+        std::mem::take(&mut self.told().history)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn it_is_bounded_says_what_was_left_out_and_reads_as_json_lines() {
+        let mut recorder = Recorder::new(Instant::now());
+        recorder.most = 3;
+        for i in 0..5 {
+            recorder.note(What::Dialled { from: Node::Gatherer(i), to: Node::Server(1) });
+        }
+        let history = recorder.take();
+        assert_eq!((history.events.len(), history.left_out), (3, 2));
+        assert!(history.events.is_sorted_by_key(|e| e.at));
+        let mut text = Vec::new();
+        history.write(&mut text).expect("written");
+        let text = String::from_utf8(text).expect("text");
+        let last: serde_json::Value =
+            serde_json::from_str(text.lines().last().expect("a line")).expect("JSON");
+        assert_eq!(
+            (&last["what"], &last["from"], &last["to"]),
+            (&"dialled".into(), &"g2".into(), &"s1".into())
+        );
+    }
+}
--- /dev/null
+++ b/crates/lab/src/hunt.rs
@@ -0,0 +1,196 @@
+//! The hunt: scripts drawn at random from all acts, and the shortest that still breaks a rule.
+
+use std::time::Duration;
+
+use crate::discovery::Trouble;
+use crate::faults::Manner;
+use crate::links::{Fault, Way};
+use crate::node::Kind;
+use crate::script::{Act, Doing, Rehearsal, Select, VERTICALS};
+
+/// Acts of a drawn script at the most.
+const ACTS_MOST: usize = 6;
+/// When acts may begin, and how long they last at the most, in milliseconds.
+const BEGIN_MS: std::ops::Range<u64> = 500..5000;
+const LAST_MS: std::ops::Range<u64> = 200..4000;
+/// What every drawn script stands on: short, small, and under way before the first act.
+const GROUND: &str = r#"
+about = "drawn by a hunt"
+gatherers = 8
+servers = 8
+zones = 2
+cells = 4
+span = 2
+shards = 16
+seconds = 10.0
+warm = true
+kept = true
+rate = 60.0
+parts = 8
+retries = 2
+notice_ms = 1000
+list_rate = 50.0
+mark_ms = 500
+"#;
+
+fn some(rng: &mut fastrand::Rng, kind: Kind) -> Select {
+    let share = [0.125, 0.25, 0.5, 0.75, 1.0][rng.usize(..5)];
+    let from = if share < 1.0 { (1.0 - share) * rng.f64() } else { 0.0 };
+    Select { kind, from, share, zone: (rng.u8(..4) == 0).then(|| rng.u16(..2)) }
+}
+
+fn link(rng: &mut fastrand::Rng, for_ms: u64) -> Doing {
+    let gatherers = some(rng, Kind::Gatherers);
+    let (from, to) = match rng.u8(..6) {
+        0 => (Select { kind: Kind::Clients, from: 0.0, share: 1.0, zone: None }, gatherers),
+        1 => (gatherers, Select { kind: Kind::List, from: 0.0, share: 1.0, zone: None }),
+        _ => (gatherers, some(rng, Kind::Servers)),
+    };
+    let fault = match rng.u8(..7) {
+        0..3 => Fault::Silent,
+        3 => Fault::Reset,
+        4 => Fault::Refused,
+        5 => Fault::Late { ms: rng.u64(10..1000), spread_ms: rng.u64(..300) },
+        _ => Fault::Slow { bytes_a_second: rng.u64(200..20_000) },
+    };
+    let way = [Way::Both, Way::There, Way::Back][rng.usize(..3)];
+    Doing::Link { from, to, way, fault, for_ms, dropped: rng.bool() }
+}
+
+fn doing(rng: &mut fastrand::Rng) -> Doing {
+    let for_ms = rng.u64(LAST_MS);
+    let gatherers = some(rng, Kind::Gatherers);
+    let servers = some(rng, Kind::Servers);
+    match rng.u8(..16) {
+        0..5 => link(rng, for_ms),
+        5..7 => Doing::Stop { who: gatherers, for_ms },
+        7..9 => Doing::Restart { who: gatherers, after_ms: for_ms / 2, kept: rng.bool(), softly: rng.bool() },
+        9..11 => {
+            let late = Duration::from_millis(rng.u64(50..900));
+            let manners = [
+                Manner::Slow(late),
+                Manner::Silent,
+                Manner::Failing,
+                Manner::Full,
+                Manner::Cut,
+                Manner::HoldsLast,
+                Manner::Half,
+            ];
+            let vertical = rng.bool().then(|| VERTICALS[rng.usize(..VERTICALS.len())].0.to_owned());
+            Doing::Server { who: servers, vertical, manner: manners[rng.usize(..manners.len())], for_ms }
+        }
+        11..13 => {
+            let troubles = [
+                Trouble::Hangs,
+                Trouble::Sorry,
+                Trouble::Late { ms: for_ms / 2 },
+                Trouble::Old,
+                Trouble::Halved,
+                Trouble::Back { by: 3 },
+                Trouble::Torn,
+            ];
+            let who = rng.bool().then_some(gatherers);
+            Doing::List { who, trouble: troubles[rng.usize(..troubles.len())], for_ms }
+        }
+        13 => Doing::Drain { who: Select { share: servers.share.min(0.5), ..servers }, for_ms },
+        14 => Doing::Cold { who: servers },
+        _ => match rng.bool() {
+            true => Doing::Burst { times: 1.0 + 4.0 * rng.f64(), for_ms },
+            false => Doing::Rush { queries: rng.u32(1..20) },
+        },
+    }
+}
+
+/// The script of a seed.
+pub fn draw(seed: u64) -> Result<Rehearsal, String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut rehearsal = Rehearsal::read(GROUND)?;
+    let count = rng.usize(1..=ACTS_MOST);
+    rehearsal.act = (0..count)
+        .map(|_| Act { at_ms: rng.u64(BEGIN_MS), spread_ms: rng.u64(..1500), doing: doing(&mut rng) })
+        .collect();
+    rehearsal.checked()
+}
+
+/// The same act for half as long, where it lasts.
+fn shorter(act: &Act) -> Option<Act> {
+    let mut act = act.clone();
+    let lasts = match &mut act.doing {
+        Doing::Stop { for_ms, .. } | Doing::Link { for_ms, .. } | Doing::Server { for_ms, .. } => for_ms,
+        Doing::List { for_ms, .. } | Doing::Drain { for_ms, .. } | Doing::Burst { for_ms, .. } => for_ms,
+        _ => return None,
+    };
+    *lasts /= 2;
+    (*lasts >= LAST_MS.start).then_some(act)
+}
+
+/// Cuts acts out, then shortens those that are left, as long as what is left still breaks something.
+pub async fn cut_down(mut acts: Vec<Act>, mut breaks: impl AsyncFnMut(&[Act]) -> bool) -> Vec<Act> {
+    let mut at = 0;
+    while at < acts.len() && acts.len() > 1 {
+        let mut fewer = acts.clone();
+        fewer.remove(at);
+        match breaks(&fewer).await {
+            // What could not be spared before may be now.
+            true => (acts, at) = (fewer, 0),
+            false => at += 1,
+        }
+    }
+    for at in 0..acts.len() {
+        while let Some(act) = shorter(&acts[at]) {
+            let mut milder = acts.clone();
+            milder[at] = act;
+            if !breaks(&milder).await {
+                break;
+            }
+            acts = milder;
+        }
+    }
+    acts
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeSet;
+
+    use super::*;
+
+    #[test]
+    fn a_seed_draws_one_script_that_can_be_played_and_all_acts_are_drawn() {
+        let mut kinds = BTreeSet::new();
+        for seed in 0..400 {
+            let rehearsal = draw(seed).expect("it can be played");
+            assert_eq!(rehearsal.act, draw(seed).expect("it").act);
+            let text = toml::to_string(&rehearsal).expect("it can be written down");
+            assert_eq!(Rehearsal::read(&text).expect("and read").act, rehearsal.act);
+            for act in &rehearsal.act {
+                kinds.insert(
+                    format!("{:?}", act.doing).split([' ', '{']).next().unwrap_or_default().to_owned(),
+                );
+            }
+        }
+        let all = ["Burst", "Cold", "Drain", "Link", "List", "Restart", "Rush", "Server", "Stop"];
+        assert_eq!(kinds.iter().map(String::as_str).collect::<Vec<_>>(), all);
+    }
+
+    #[tokio::test]
+    async fn what_is_not_needed_is_cut_out_and_what_is_left_is_shortened() {
+        let acts: Vec<Act> = (0..8).flat_map(|seed| draw(seed).expect("it").act).collect();
+        let who = Select { kind: Kind::Gatherers, from: 0.0, share: 0.5, zone: None };
+        let stop = Act { at_ms: 700, spread_ms: 0, doing: Doing::Stop { who: who.clone(), for_ms: 3200 } };
+        let kill = Act { at_ms: 900, spread_ms: 0, doing: Doing::Kill { who } };
+        let mut all = acts.clone();
+        all.insert(3, stop);
+        all.push(kill.clone());
+        let mut tries = 0;
+        let least = cut_down(all, async |acts: &[Act]| {
+            tries += 1;
+            let stopped =
+                |a: &Act| matches!(a.doing, Doing::Stop { for_ms, .. } if for_ms >= 800 && a.at_ms == 700);
+            acts.iter().any(stopped) && acts.contains(&kill)
+        });
+        let least = least.await;
+        assert_eq!(least.len(), 2, "{least:?}");
+        assert!(matches!(least[0].doing, Doing::Stop { for_ms: 800, .. }) && least[1] == kill);
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,12 +2,23 @@
 //!
 //! Job: shard servers and discovery that a gatherer takes for real ones, troubles among them by a script in
 //! time, clients of several manners that check every answer, and the levels of what a gatherer reports over a
-//! long run. May know: the public protocols. Must not know: the gatherer's code.
+//! long run; many processes of the program with faults between them, and the rules checked on the history of
+//! what they did. May know: the public protocols, and how the program is started. Must not know: its code.
 
+pub mod checks;
 pub mod clients;
 pub mod discovery;
 pub mod faults;
+pub mod figures;
+pub mod history;
+pub mod hunt;
 pub mod levels;
+pub mod links;
+pub mod node;
+pub mod process;
+pub mod rehearsals;
+pub mod rig;
+pub mod script;
 pub mod shards;
 
 /// The value that a stand-in gives a part: as long as asked for, and no other part's.
