No turn over 100 ms: ended calls are told 100 a turn, servers are looked up hashed

Need: the standing test's guard on the owner's longest turn, with 200 servers, a whole new list and 600 parts out. Cause: each of 600 ended calls looks at all parts of its query, and each look ranks 80 holders of a part by ordered lookups, those that are gone among them. Now a turn tells at most 100 ends, the rest follows in the next turns; servers are looked up by hash; a whole list clears the holders; what makes a part overdue is worked out once a look. Decisions are the same.

--- a/crates/gatherer/src/routing/mod.rs
+++ b/crates/gatherer/src/routing/mod.rs
@@ -8,6 +8,8 @@
 mod relay;
 mod route;
 mod take_in;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/crates/gatherer/src/routing/pool/mod.rs
+++ b/crates/gatherer/src/routing/pool/mod.rs
@@ -29,6 +29,9 @@
 const LATE_TIMES: usize = 16;
 /// Pause before a frame that found no room is tried again: others are written meanwhile.
 const ROOM_LOOK: Duration = Duration::from_millis(10);
+/// Ended calls that are told in one turn: a list, or a server, may end hundreds at once, each of which costs the
+/// decisions a look at all parts of its query. The rest is told in the next turns, and other work between.
+const ENDED_A_TURN: usize = 100;
 
 /// A part and the number of its leaf call.
 pub(in crate::routing) type Key = (u64, u32);
@@ -104,6 +107,14 @@
     }
 
     pub(in crate::routing) fn take_ended(&mut self) -> Vec<Ended> {
-        std::mem::take(&mut self.ended)
+        let most = self.ended.len().min(ENDED_A_TURN);
+        self.ended.drain(..most).collect()
+    }
+
+    /// Each connection, whether it is up, and the parts out on it.
+    #[cfg(test)]
+    pub(in crate::routing) fn seen(&self) -> Vec<(u64, bool, Vec<std::sync::Arc<str>>)> {
+        let seen = |(lane, c): (&u64, &Connection)| (*lane, c.up, c.out.keys().cloned().collect());
+        self.connections.iter().map(seen).collect()
     }
 }
--- a/crates/gatherer/src/routing/relay.rs
+++ b/crates/gatherer/src/routing/relay.rs
@@ -24,7 +24,7 @@
         self.settled(&ended);
     }
 
-    /// Tells the module of the calls that ended by other means since the last turn.
+    /// Tells the module of the calls that ended by other means, those that ended first first.
     pub(super) fn relay_ended(&mut self) {
         for ended in self.pool.take_ended() {
             self.settled(&ended);
--- /dev/null
+++ b/crates/gatherer/src/routing/tests.rs
@@ -0,0 +1,263 @@
+//! The owner of the decisions, turn by turn, with no sockets: on a clock that stands and jumps, and at size.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use ashvane_memory::Limits;
+use serde_json::json;
+use tokio::sync::oneshot::Receiver;
+use tokio::task::LocalSet;
+use tokio::time::advance;
+
+use super::*;
+use crate::protocol::frame::End;
+use crate::protocol::list::Listed;
+use crate::protocol::query::{Part, Query, Reply};
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A turn's longest time, which is also that in which nothing else of the gatherer gets on; and how often a
+/// machine that is busy may be looked at to find it so.
+const TURN_MOST: Duration = ms(100);
+const TRIES: usize = 5;
+/// The most leaf calls for one part, as the settings here have it.
+const CALLS_MOST: usize = 3;
+
+/// The owner with an inbox that the test fills. The connections' own tasks find nobody; what they would tell is
+/// told by the test instead.
+struct Bed {
+    routing: Routing,
+    events: mpsc::Sender<Event>,
+    inbox: mpsc::Receiver<Event>,
+    left: Arc<Left>,
+    ledger: Ledger,
+    _apart: mpsc::Receiver<Event>,
+}
+
+fn list(generation: u32, servers: u32) -> List {
+    let listed = |i| Listed {
+        id: format!("s-{generation}-{i}"),
+        // Nobody listens at this port.
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: Some(0),
+        cell: i % 10,
+        health: Health::Ready,
+        started: None,
+    };
+    List { revision: u64::from(generation), all: true, servers: (0..servers).map(listed).collect() }
+}
+
+impl Bed {
+    fn new(servers: u32) -> Bed {
+        let settings = json!({
+            "balancers": 1, "zone": 0, "zones": ["a"], "quantum_us": 5000, "membership_mode": "pushed",
+            "request_classes": [{"name": "near", "effect": "retryable", "aim_us": 500_000,
+                "hard_limit_us": 2_000_000, "late_share": 0.1}],
+            "projects": [{"name": "acme", "quota_per_s": 10_000.0}],
+            "family_info": {"class_need": [0.75], "floor_by_class": [0.25], "follow_up": [0], "parts_a_call": 8,
+                "positions": 10, "ranges": 100, "span": 2},
+            "policy_limits": {"dial_timeout_us": 250_000, "keepalive_us": 15_000_000,
+                "max_attempts": CALLS_MOST, "max_retry_after_us": 500_000, "may_cancel": true, "most_held": 20_000,
+                "multiplex": 32, "retry_after": true, "second_copies": true},
+            "rules": {"cold_from": 0.2, "cold_us": 1_000_000, "fall_us": 1_000_000, "overload_factor": 2.0,
+                "budget_span_us": 10_000_000, "extra_per_request": 0.2, "min_extra": 10}
+        });
+        let network = ashvane_settings::read_network(&settings).expect("settings");
+        let settings = ashvane_settings::read(7, &settings).expect("settings");
+        let ledger = Ledger::new(Limits::of_memory(192 << 20), &[("acme".to_owned(), 1.0)]);
+        let (apart, kept) = mpsc::channel(4096);
+        let (events, inbox) = mpsc::channel(4096);
+        let ready = oneshot::channel().0;
+        let ends =
+            Ends { most_lanes: 480, events: apart, asked: Rc::default(), ready, ledger: ledger.clone() };
+        let routing = Routing::new(&settings, &network, &list(1, servers), ends).expect("room");
+        Bed { routing, events, inbox, left: Arc::default(), ledger, _apart: kept }
+    }
+
+    fn tell(&self, event: Event) {
+        assert!(self.events.try_send(event).is_ok(), "no room for an event");
+    }
+
+    fn ask(&self, id: &str, parts: u32) -> Receiver<Reply> {
+        let (reply, answer) = oneshot::channel();
+        let query = Query {
+            id: id.to_owned(),
+            vertical: 0,
+            tenant: Some(0),
+            key: None,
+            wait: ms(1500),
+            parts: (0..parts).map(|shard| Part { shard, weight: 1.0 / f64::from(parts) }).collect(),
+            text: "c41e77d0".into(),
+        };
+        let room = self.ledger.take(Purpose::Bodies, None, 100).expect("room");
+        self.tell(Event::Came { query, arrived: Instant::now(), room, ticket: u64::MAX, reply });
+        answer
+    }
+
+    /// One turn, and how long it took by the machine's own clock.
+    fn turn(&mut self) -> Duration {
+        let began = std::time::Instant::now();
+        self.routing.turn(None, &mut self.inbox, &self.left);
+        began.elapsed()
+    }
+
+    fn lanes(&self) -> usize {
+        self.routing.pool.seen().len()
+    }
+
+    /// All that is out.
+    fn out(&self) -> BTreeSet<(u64, Arc<str>)> {
+        let seen = self.routing.pool.seen().into_iter();
+        seen.flat_map(|(lane, _, ids)| ids.into_iter().map(move |id| (lane, id))).collect()
+    }
+
+    /// All connections that are dialled come up.
+    fn come_up(&self) {
+        let seen = self.routing.pool.seen().into_iter();
+        seen.filter(|(_, up, _)| !up).for_each(|(lane, _, _)| self.tell(Event::Up(lane)));
+    }
+
+    /// Everything that is out is answered.
+    fn answer_all(&self) {
+        for (lane, id) in self.out() {
+            let room = self.ledger.take(Purpose::Frames, None, 100).expect("room");
+            self.tell(Event::Answered { lane, id: id.to_string(), end: End::Done, value: "v".into(), room });
+        }
+    }
+
+    /// Turns in which everything is answered at once, until nothing more happens.
+    fn settle(&mut self) {
+        for _ in 0..20 {
+            self.come_up();
+            self.turn();
+            self.answer_all();
+            self.turn();
+        }
+    }
+}
+
+fn played(test: impl Future<Output = ()>, paused: bool) {
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_all().start_paused(paused).build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn served(answer: &mut Receiver<Reply>) -> bool {
+    matches!(answer.try_recv(), Ok(Reply::Answered { whole: true, .. }))
+}
+
+/// Guards against work in one turn that grows with all that is known: nothing else gets on meanwhile.
+#[test]
+fn no_turn_is_long_with_200_servers_a_whole_new_list_and_600_parts_out() {
+    let longest: Vec<Duration> = (0..TRIES).map(|_| longest_turn()).collect();
+    assert!(longest.iter().any(|turn| *turn < TURN_MOST), "turns took {longest:?}");
+}
+
+fn longest_turn() -> Duration {
+    let mut longest = Duration::ZERO;
+    let test = async {
+        let mut bed = Bed::new(200);
+        let mut answers: Vec<_> = (0..10).map(|i| bed.ask(&format!("q{i}"), 80)).collect();
+        longest = bed.turn();
+        bed.come_up();
+        longest = longest.max(bed.turn());
+        let out = bed.out().len();
+        assert!(out >= 600, "{out} parts are out");
+        // Every server is replaced while all of that is out, and as much again comes in the same turn.
+        let (taken, mut is_taken) = oneshot::channel();
+        bed.tell(Event::Listed(list(2, 200), taken));
+        answers.extend((10..20).map(|i| bed.ask(&format!("q{i}"), 80)));
+        longest = longest.max(bed.turn());
+        assert_eq!(is_taken.try_recv(), Ok(true));
+        // All old connections break in one turn.
+        for (lane, _, _) in bed.routing.pool.seen().into_iter().filter(|(_, up, _)| *up) {
+            bed.tell(Event::Down(lane));
+        }
+        longest = longest.max(bed.turn());
+        for _ in 0..20 {
+            bed.come_up();
+            longest = longest.max(bed.turn());
+            bed.answer_all();
+            longest = longest.max(bed.turn());
+        }
+        let ended = answers.iter_mut().map(|answer| usize::from(answer.try_recv().is_ok())).sum::<usize>();
+        assert!(ended >= 10, "{ended} of 20 are answered without any time passing");
+        assert!(bed.routing.pool.take_ended().is_empty(), "every end is told");
+    };
+    played(test, false);
+    longest
+}
+
+/// Guards against attempts, dials or wakes that repeat while no time passes.
+#[test]
+fn while_the_clock_stands_nothing_storms_and_answers_still_end_queries() {
+    let test = async {
+        let mut bed = Bed::new(20);
+        let mut answer = bed.ask("q", 40);
+        bed.turn();
+        bed.come_up();
+        bed.turn();
+        let (out, lanes) = (bed.out(), bed.lanes());
+        assert!(out.len() >= 30);
+        for _ in 0..2000 {
+            bed.turn();
+        }
+        assert_eq!((bed.out(), bed.lanes()), (out, lanes), "no time, no spare and no dial");
+        bed.answer_all();
+        bed.turn();
+        assert!(served(&mut answer), "answers need no time");
+    };
+    played(test, true);
+}
+
+/// Guards against timers, budgets and a breaker that stall after a jump, or make up for it all at once.
+#[test]
+fn when_the_clock_jumps_every_query_ends_once_and_what_follows_is_as_usual() {
+    let test = async {
+        let mut bed = Bed::new(20);
+        for (round, jump) in
+            [ms(700), ms(5_000), ms(600_000), ms(40 * 24 * 3_600_000)].into_iter().enumerate()
+        {
+            let mut usual = bed.ask(&format!("usual-{round}"), 20);
+            bed.settle();
+            assert!(served(&mut usual), "before a jump of {jump:?}");
+            let mut answers: Vec<_> = (0..10).map(|i| bed.ask(&format!("q-{round}-{i}"), 40)).collect();
+            bed.turn();
+            bed.come_up();
+            bed.turn();
+            let before = bed.out().len();
+            advance(jump).await;
+            // What falls due at once: at the most each part's further leaf calls, over as many turns as it likes.
+            let mut sent = BTreeSet::new();
+            for _ in 0..200 {
+                bed.turn();
+                bed.come_up();
+                sent.append(&mut bed.out());
+            }
+            let most = 10 * 40 * CALLS_MOST;
+            assert!(sent.len() <= most, "{before} parts out, then {} leaf calls", sent.len());
+            assert!(bed.lanes() <= 20 * 24, "{} connections", bed.lanes());
+            if jump > ms(1500) {
+                let open: Vec<usize> =
+                    (0..answers.len()).filter(|i| answers[*i].try_recv().is_err()).collect();
+                assert!(open.is_empty(), "after {jump:?} queries {open:?} are still open");
+                assert!(bed.out().is_empty(), "and nothing is out for them");
+            }
+            let due = bed.routing.due();
+            assert!(due > Instant::now(), "nothing is due for ever: {:?} ago", due.elapsed());
+            drop(answers);
+            bed.settle();
+        }
+        // Time that passes as usual ends the rest; then a query is served as at first.
+        for _ in 0..400 {
+            advance(ms(5)).await;
+            bed.turn();
+        }
+        let mut last = bed.ask("last", 20);
+        bed.settle();
+        assert!(served(&mut last), "as usual");
+    };
+    played(test, true);
+}
--- a/crates/gatherer/tests/common/mod.rs
+++ b/crates/gatherer/tests/common/mod.rs
@@ -532,6 +532,28 @@
         faults.expect("a figure") != "0" || !children.trim().is_empty()
     }
 
+    /// What it has open beside its standard streams and what it was left by the tests' own parents, each once, as
+    /// the machine names it.
+    pub fn open_files(&self) -> std::collections::BTreeSet<String> {
+        let of = |process: &str| {
+            let entries = std::fs::read_dir(format!("/proc/{process}/fd")).expect("its descriptors");
+            let apart = |e: &std::fs::DirEntry| !["0", "1", "2"].iter().any(|std| e.file_name() == *std);
+            let target = |e: std::fs::DirEntry| Some(std::fs::read_link(e.path()).ok()?.to_str()?.to_owned());
+            entries.flatten().filter(apart).filter_map(target).collect::<std::collections::BTreeSet<_>>()
+        };
+        let (ours, theirs) = (of("self"), of(&self.child.id().to_string()));
+        theirs.into_iter().filter(|file| file.starts_with("anon_inode:") || !ours.contains(file)).collect()
+    }
+
+    /// How many of its sockets are Unix sockets.
+    pub fn unix_sockets(&self) -> usize {
+        let table = std::fs::read_to_string(format!("/proc/{}/net/unix", self.child.id())).expect("a table");
+        let inodes: std::collections::BTreeSet<&str> =
+            table.lines().skip(1).filter_map(|line| line.split_whitespace().nth(6)).collect();
+        let inode = |file: &String| Some(file.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned());
+        self.open_files().iter().filter_map(inode).filter(|inode| inodes.contains(inode.as_str())).count()
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
     }
--- a/crates/gatherer/tests/life.rs
+++ b/crates/gatherer/tests/life.rs
@@ -173,6 +173,37 @@
     assert!(others(Some("")).await, "a settings file is evaluated by another process");
 }
 
+/// Guards against what the days at full size refuse or do not bring to anybody: Unix sockets beyond the pair that
+/// the runtime has for its signals, io_uring, and splice and sendfile, which need a pipe or an open file.
+#[tokio::test]
+async fn it_opens_tcp_sockets_and_what_the_runtime_waits_on_and_nothing_else() {
+    let mut world = World::start(&[Manner::Late(ms(50)); 2]).await.ready().await;
+    let members = world.shards.iter().zip(0..);
+    let members = members.map(|(s, i)| member(&format!("s-{i}"), s.address, i, "ready", 0)).collect();
+    world.discovery.tell(true, members);
+    let mut client = world.client().await;
+    for (number, signal) in ["none", "HUP", "USR1", "TERM"].into_iter().enumerate() {
+        if number > 0 {
+            world.signal(signal);
+        }
+        client.send(&request("near", &format!("q-{number}"), 4, "1900m")).await;
+        // While a query is out, and once it is answered.
+        for _ in 0..2 {
+            assert!(world.unix_sockets() <= 2, "after {signal}: {:?}", world.open_files());
+            let waits = ["anon_inode:[eventpoll]", "anon_inode:[eventfd]"];
+            let known = |file: &&String| file.starts_with("socket:[") || waits.contains(&file.as_str());
+            let files = world.open_files();
+            let odd: Vec<_> = files.iter().filter(|file| !known(file)).collect();
+            assert!(odd.is_empty(), "after {signal}: {odd:?}");
+            if let Ok(Some(reply)) = tokio::time::timeout(ms(1500), client.next()).await {
+                assert_eq!(reply.status, 200, "after {signal}");
+            }
+        }
+    }
+    drop(client);
+    assert!(world.exit().await.success());
+}
+
 /// Guards against a static binary, into which the days at full size could load nothing.
 #[test]
 fn the_program_is_linked_dynamically() {
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -25,6 +25,8 @@
 const WAIT_MOST: Duration = Duration::from_secs(60);
 /// A call that would wait longer for its turn gets 503, and one twice as long behind nothing at all.
 const TURN_MOST: Duration = Duration::from_secs(2);
+/// What a 503 costs the service, as a share of an answer.
+const SORRY_COST: f64 = 0.1;
 
 /// What the service does wrong, to all or to some.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -160,18 +162,19 @@
     /// Waits for a turn; the status of a call that can't have one.
     async fn turn(&self) -> Result<(), u16> {
         let Some(rate) = self.rate else { return Ok(()) };
-        let (now, mine) = {
+        let mine = {
             let (mut turn, now) = (locked(&self.turn), Instant::now());
             let mine = (*turn).max(now);
             if mine > now + 2 * TURN_MOST {
                 return Err(0);
             }
-            *turn = mine + Duration::from_secs_f64(1.0 / rate);
-            (now, mine)
+            let sorry = mine > now + TURN_MOST;
+            *turn = mine + Duration::from_secs_f64(if sorry { SORRY_COST } else { 1.0 } / rate);
+            if sorry {
+                return Err(503);
+            }
+            mine
         };
-        if mine > now + TURN_MOST {
-            return Err(503);
-        }
         sleep_until(mine).await;
         Ok(())
     }
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -440,6 +440,7 @@
     let most = rehearsal.most.iter().map(|(name, most)| (name, None, Some(*most)));
     let most_each = rehearsal.most_each.iter().map(|(name, most)| (name, None, Some(*most * each)));
     let least = rehearsal.least.iter().map(|(name, least)| (name, Some(*least), None));
+    let least_each = rehearsal.least_each.iter().map(|(name, least)| (name, Some(*least * each), None));
     let bound = |(name, least, most): (&String, Option<f64>, Option<f64>)| {
         // A figure that the run has none of breaks its bound.
         let measured = figures.get(name.as_str()).copied();
@@ -447,7 +448,7 @@
             measured.is_some_and(|m| most.is_none_or(|most| m <= most) && least.is_none_or(|l| m >= l));
         Bound { name: name.clone(), least, most, measured: measured.unwrap_or(-1.0), holds }
     };
-    most.chain(most_each).chain(least).map(bound).collect()
+    most.chain(most_each).chain(least).chain(least_each).map(bound).collect()
 }
 
 /// Plays a rehearsal. To be awaited on the thread that lasts as long as the rig; when this is dropped, all that
@@ -548,7 +549,7 @@
         let mut rehearsal = Rehearsal::read(crate::rehearsals::ALL[0].1).expect("it");
         rehearsal.most = [("avoided_s".to_owned(), 1.0), ("dials".to_owned(), 5.0)].into();
         rehearsal.most_each = [("list_calls".to_owned(), 2.0)].into();
-        rehearsal.least = BTreeMap::new();
+        (rehearsal.least, rehearsal.least_each) = Default::default();
         rehearsal.gatherers = 10;
         let figures = Figures::from([("dials", 5.0), ("list_calls", 20.5)]);
         let holds: Vec<(String, bool)> =
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -157,7 +157,7 @@
     /// When the main trouble begins: some figures count from then on.
     #[serde(default)]
     pub mark_ms: u64,
-    /// Bounds on figures; those of `most_each` are for each gatherer.
+    /// Bounds on figures; those of `most_each` and `least_each` are for each gatherer.
     #[serde(default)]
     pub most: BTreeMap<String, f64>,
     #[serde(default)]
@@ -165,6 +165,8 @@
     #[serde(default)]
     pub least: BTreeMap<String, f64>,
     #[serde(default)]
+    pub least_each: BTreeMap<String, f64>,
+    #[serde(default)]
     pub act: Vec<Act>,
 }
 
@@ -236,8 +238,8 @@
             within("a share", select.share, 0.0, 1.0)?;
             within("a place", select.from, 0.0, 1.0)?;
         }
-        let figures = self.most.keys().chain(self.most_each.keys()).chain(self.least.keys());
-        for name in figures {
+        let most = self.most.keys().chain(self.most_each.keys());
+        for name in most.chain(self.least.keys()).chain(self.least_each.keys()) {
             if !crate::figures::NAMES.contains(&name.as_str()) {
                 return Err(format!("there is no figure {name:?}"));
             }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,7 +6,7 @@
 //! host. Both types, and how a leaf call can end, stand in `lib.rs`. `docs/design.md` has the why.
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -179,7 +179,8 @@
     verticals: Vec<Vertical>,
     tenants: Vec<(f64, Rate)>,
     even_share: f64,
-    servers: BTreeMap<ServerId, Server>,
+    /// Hashed, for each part looks up each of its holders; nothing goes by its order.
+    servers: HashMap<ServerId, Server>,
     holders: BTreeMap<u32, Vec<ServerId>>,
     /// Each zone's pace and the fleet's usual one, as last looked at.
     zones: BTreeMap<Option<u32>, f64>,
@@ -261,7 +262,7 @@
             verticals: verticals.collect(),
             tenants: tenants.collect(),
             even_share: 1.0 / gatherers,
-            servers: BTreeMap::new(),
+            servers: HashMap::new(),
             holders: BTreeMap::new(),
             zones: BTreeMap::new(),
             usual_pace: 1.0,
@@ -346,11 +347,13 @@
         self.ask_wait = ASK_AGAIN;
         self.ask_at = self.now + self.ask_every.unwrap_or_default();
         self.servers.retain(|_, s| s.health != Health::Gone || !s.calls.is_empty());
-        self.holders.values_mut().for_each(|ids| ids.retain(|id| self.servers.contains_key(id)));
         if all {
             self.servers.values_mut().for_each(|s| s.health = Health::Gone);
             self.ready = 0;
+            // Those that the list does not name hold nothing: no part looks at them.
+            return self.holders.clear();
         }
+        self.holders.values_mut().for_each(|ids| ids.retain(|id| self.servers.contains_key(id)));
     }
 
     /// The list names a server. A start that we have not seen makes it new, and perhaps cold.
@@ -360,8 +363,8 @@
         let started = started.filter(|t| *t + self.cold_time > self.now);
         let id: ServerId = id.into();
         let fresh = || Server { pace: 1.0, health: Health::Gone, cell, ..Server::default() };
-        let known = self.servers.contains_key(&id);
         let server = self.servers.entry(id.clone()).or_insert_with(fresh);
+        let held = server.cell == cell && server.health != Health::Gone;
         if started.is_some() && server.started != started {
             (server.pace, server.faults) = (1.0, BTreeMap::new());
         }
@@ -369,7 +372,7 @@
         self.ready = self.ready + ready(health) - ready(server.health);
         let before = std::mem::replace(&mut server.cell, cell);
         (server.health, server.zone, server.started) = (health, zone, started);
-        if !known || before != cell {
+        if !held {
             self.holders.get_mut(&before).into_iter().for_each(|ids| ids.retain(|known| *known != id));
             self.holders.entry(cell).or_default().push(id);
         }
@@ -728,13 +731,15 @@
         Duration::from_secs_f64(times * self.usual_pace * self.expected(q))
     }
 
-    /// When a part that is out falls overdue, unless it has its spare.
-    fn overdue_at(&self, q: &Query, p: &Part) -> Option<Duration> {
+    /// After how long a part that is out falls overdue, unless it has its spare.
+    fn overdue_after(&self, q: &Query) -> Duration {
         let held = q.parts.iter().any(|p| p.calls == 0);
         let times = if held { LATE_WITH_SPARE } else { LATE_WITHOUT };
-        let threshold = self.verticals[q.vertical].slo.mul_f64(THRESHOLD);
-        let due = p.last_sent.max(self.awake) + threshold.min(self.usual_times(q, times));
-        Some(due).filter(|_| p.out > 0 && !p.done && !p.spared)
+        self.verticals[q.vertical].slo.mul_f64(THRESHOLD).min(self.usual_times(q, times))
+    }
+
+    fn overdue_at(&self, p: &Part, after: Duration) -> Option<Duration> {
+        Some(p.last_sent.max(self.awake) + after).filter(|_| p.out > 0 && !p.done && !p.spared)
     }
 
     /// An overdue part: its server is impaired, and a spare may go out if breaker and cap allow.
@@ -802,15 +807,15 @@
                 return self.give_up(number);
             }
         }
+        let after = self.overdue_after(q);
         for at in 0..q.parts.len() {
-            let q = &self.queries[&number];
-            let due = self.overdue_at(q, &q.parts[at]).filter(|due| self.now >= *due);
-            due.into_iter().for_each(|due| self.overdue(number, at, due));
+            let due = self.overdue_at(&self.queries[&number].parts[at], after);
+            due.filter(|due| self.now >= *due).into_iter().for_each(|due| self.overdue(number, at, due));
         }
         let filled = self.fill(number);
         let q = &self.queries[&number];
-        let soon = self.now + LOOK_AGAIN;
-        let next = q.parts.iter().filter_map(|p| self.overdue_at(q, p)).min().filter(|_| filled);
+        let (after, soon) = (self.overdue_after(q), self.now + LOOK_AGAIN);
+        let next = q.parts.iter().filter_map(|p| self.overdue_at(p, after)).min().filter(|_| filled);
         self.see_to(number, next.unwrap_or(if filled { end } else { soon }).max(soon).min(end));
     }
 
