--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -51,7 +51,8 @@
         let mut depth = BTreeMap::<_, u32>::new();
         for Event { at, what } in &history.events {
             match *what {
-                What::Started { node } | What::Signalled { node, signal: "CONT" } => {
+                // Between its start and its first sign of life nobody knows whether it listens yet.
+                What::Ready { node } | What::Signalled { node, signal: "CONT" } => {
                     running.entry(node).or_default().push((*at, Duration::MAX));
                 }
                 What::Signalled { node, .. } | What::Exited { node, .. } => {
@@ -244,7 +245,7 @@
 
     #[test]
     fn a_good_history_breaks_nothing_and_each_bad_one_its_rule() {
-        let start = (0, What::Started { node: G });
+        let start = (0, What::Ready { node: G });
         let good = [start.clone(), (10, asked(1)), (20, ran(1, BOOK)), (30, ended(1, End::Whole, &[3]))];
         assert_eq!(rules(good.to_vec()), [""; 0]);
         let with = |more: &[(u64, What)]| rules([&good[..], more].concat());
@@ -269,12 +270,14 @@
 
     #[test]
     fn who_was_killed_stopped_or_cut_off_is_excused_for_that_time_only() {
-        let start = (0, What::Started { node: G });
+        let start = (0, What::Ready { node: G });
         let lost = [(100, asked(1)), (200, ended(1, End::Closed, &[]))];
         let with = |before: &[(u64, What)], between: (u64, What), after: &[(u64, What)]| {
             rules([std::slice::from_ref(&start), before, &lost[..1], &[between], &lost[1..], after].concat())
         };
         assert_eq!(with(&[], (150, signalled("KILL")), &[]), [""; 0]);
+        let killed = [(50, signalled("KILL")), (60, What::Started { node: G })];
+        assert_eq!(with(&killed, (250, What::Ready { node: G }), &[]), [""; 0], "it does not listen yet");
         assert_eq!(with(&[], (150, signalled("STOP")), &[]), [""; 0]);
         assert_eq!(
             with(
@@ -305,7 +308,7 @@
 
     #[test]
     fn a_drain_is_kept_from_when_it_was_told_unless_the_news_or_the_call_was_held() {
-        let start = (0, What::Started { node: G });
+        let start = (0, What::Ready { node: G });
         let told = (100, What::ToldDrain { to: G, server: S });
         let late = 101 + DRAIN_GRACE.as_millis() as u64;
         let good = [(late - 10, asked(1)), (late + 500, ended(1, End::Whole, &[3]))];
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -186,11 +186,11 @@
         }
     }
 
-    /// Time begins now: of what was before, only who runs is kept, as of now.
+    /// Time begins now: of what was before, only who was started and is ready is kept, as of now.
     pub fn zero(&self) {
         let mut told = self.told();
         told.start = Instant::now();
-        told.history.events.retain(|e| matches!(e.what, What::Started { .. }));
+        told.history.events.retain(|e| matches!(e.what, What::Started { .. } | What::Ready { .. }));
         told.history.events.iter_mut().for_each(|e| e.at = Duration::ZERO);
     }
 
