--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,12 +1,15 @@
 //! Our own settings as typed values.
 //!
 //! Job: the [`Settings`] that a script can make, the [`Fault`]s that it can have, and the limits that follow.
-//! May know: the limits' own rules in `ashvane-memory`. Must not know: the script's form, which is
+//! May know: the limits' own rules in `ashvane-memory`, a lease's in `ashvane-fleet`. Must not know: the script's form, which is
 //! `ashvane-script`'s; files, processes, sockets; what the settings are used for.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use ashvane_fleet::Terms;
 use ashvane_memory::{Limit, Limits, Purpose};
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +60,28 @@
     pub reserve: Option<u64>,
 }
 
+/// Where the keepers are, and what a lease is there. Rates and shares are whole numbers, to be compared exactly.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetSettings {
+    /// By their numbers.
+    pub keepers: BTreeMap<u64, SocketAddr>,
+    pub lease_ms: u64,
+    /// How far a clock's rate may be off, in parts of a million.
+    pub drift_ppm: u64,
+    /// How often each gatherer calls a keeper.
+    pub every_ms: u64,
+}
+
+impl FleetSettings {
+    pub fn terms(&self) -> Terms {
+        Terms { lease: Duration::from_millis(self.lease_ms), drift: self.drift_ppm as f64 / 1e6 }
+    }
+
+    pub fn every(&self) -> Duration {
+        Duration::from_millis(self.every_ms)
+    }
+}
+
 /// All that a script can say. What it leaves out follows from the platform's limits.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settings {
@@ -66,6 +91,8 @@
     /// What all purposes may take together, in bytes.
     pub memory_total: Option<u64>,
     pub caps: Vec<CapSettings>,
+    /// Off unless stated: then this gatherer talks with nobody but servers, clients and discovery.
+    pub fleet: Option<FleetSettings>,
 }
 
 impl Settings {
--- /dev/null
+++ b/crates/fleet/tests/record.rs
@@ -0,0 +1,80 @@
+//! The record under any commands in any order, and its form on the wire and on a disk.
+
+use ashvane_fleet::record::{DUTIES_MOST, NAME_MOST, TABLE_MOST};
+use ashvane_fleet::{Command, Record, Reply};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+#[derive(Clone, Debug)]
+struct Any(Command);
+
+impl Arbitrary for Any {
+    fn arbitrary(g: &mut Gen) -> Any {
+        let of = |g: &mut Gen, names: &[&str]| (*g.choose(names).expect("one")).to_owned();
+        let duty = if u8::arbitrary(g) == 0 {
+            format!("d{}", u8::arbitrary(g))
+        } else {
+            of(g, &["roster", "list", "", &"x".repeat(NAME_MOST + 1)])
+        };
+        let (who, epoch, beat) =
+            (of(g, &["a", "b", "c", ""]), u64::from(u8::arbitrary(g) % 6), u64::from(u8::arbitrary(g) % 4));
+        Any(match u8::arbitrary(g) % 5 {
+            0 | 1 => Command::Take { duty, who, epoch, beat },
+            2 => Command::Renew { duty, who, epoch },
+            3 => Command::Give { duty, who, epoch },
+            _ => {
+                let text = if u8::arbitrary(g) == 0 {
+                    "x".repeat(TABLE_MOST + 1)
+                } else {
+                    of(g, &["", "é\n\"", "{}"])
+                };
+                Command::Write { duty, epoch, text }
+            }
+        })
+    }
+}
+
+/// What must hold after each command, whatever came before.
+fn holds(commands: Vec<Any>) -> bool {
+    let mut record = Record::default();
+    for Any(command) in commands {
+        let (before, duty) = (record.clone(), command.duty().to_owned());
+        let reply = record.apply(&command);
+        let (old, new) = (before.lease(&duty), record.lease(&duty));
+        let grows = new.epoch >= old.epoch && (new.epoch > old.epoch || new.beat >= old.beat);
+        let table = record.tables.get(&duty);
+        // A table is never of a later epoch than its duty, and never goes back.
+        let tables = table.is_none_or(|t| t.epoch <= new.epoch)
+            && before
+                .tables
+                .get(&duty)
+                .is_none_or(|old| table.is_some_and(|t| (t.epoch, t.version) >= (old.epoch, old.version)));
+        let told = match (&reply, &command) {
+            (Reply::Granted { epoch }, Command::Take { who, .. }) => {
+                *epoch == old.epoch + 1 && new.owner.as_ref() == Some(who)
+            }
+            (Reply::Granted { epoch }, Command::Renew { who, .. }) => {
+                *epoch == old.epoch && old.owner.as_ref() == Some(who)
+            }
+            (Reply::Given, Command::Give { .. }) => new.owner.is_none(),
+            (Reply::Written { version }, Command::Write { epoch, .. }) => {
+                *epoch == old.epoch && old.owner.is_some() && table.is_some_and(|t| t.version == *version)
+            }
+            // What is not granted changes nothing.
+            (Reply::Fenced { epoch }, _) => *epoch == old.epoch && record == before,
+            (Reply::Refused { .. }, _) => record == before,
+            _ => false,
+        };
+        let bounded = record.duties.len() <= DUTIES_MOST;
+        let text = serde_json::to_string(&(&command, &reply, &record)).expect("text");
+        let back: (Command, Reply, Record) = serde_json::from_str(&text).expect("it is read again");
+        if !(grows && tables && told && bounded && back == (command, reply, record.clone())) {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn epochs_and_tables_never_go_back_whatever_is_asked_and_what_is_written_down_reads_the_same() {
+    QuickCheck::new().tests(2000).quickcheck(holds as fn(Vec<Any>) -> bool);
+}
--- a/crates/gatherer/src/program/mod.rs
+++ b/crates/gatherer/src/program/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_config::{Fault, LogForm, Settings};
+use ashvane_config::{Fault, FleetSettings, LogForm, Settings};
 use ashvane_memory::{Ledger, Purpose};
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
@@ -24,6 +24,7 @@
 use crate::transport::answers::Answers;
 use crate::transport::discovery::Discovery;
 use crate::transport::front::{self, CLIENT_BYTES, Door, Front};
+use crate::transport::keepers::Keepers;
 use crate::transport::lane::LANE_BYTES;
 use crate::{live, log_lines};
 
@@ -77,6 +78,8 @@
 pub struct Program {
     config: Config,
     files: Files,
+    /// The keepers that it talks with, until its end.
+    fleet: Option<FleetSettings>,
     /// Whether log lines are JSON where the settings don't say.
     as_json: bool,
     ledger: Ledger,
@@ -177,6 +180,10 @@
             asked: Rc::clone(&asked),
             followed: followed.clone(),
         };
+        if let Some(fleet) = &own.fleet {
+            let keepers = Keepers::new(&config.name, config.settings.seed, fleet, events.clone());
+            spawn_local(keepers.run(phase.subscribe()));
+        }
         let ends = Ends { most_lanes: each, events: events.clone(), asked, ready, ledger: ledger.clone() };
         let routing = Routing::new(&config.settings, &network, &config.known, ends);
         let routing = routing.map_err(|e| e.to_string())?;
@@ -191,7 +198,9 @@
         });
         let last = network.longest.min(LONGEST_MOST) + LAST_MARGIN;
         let admin = RefCell::default();
-        let program = Program { config, files, as_json, ledger, admin, phase, discovery, door, events, last };
+        let fleet = own.fleet.clone();
+        let program =
+            Program { config, files, fleet, as_json, ledger, admin, phase, discovery, door, events, last };
         program.attend(program.admin_listener(&own).await?);
         let terminated = async {
             tokio::select! { _ = signals.terminate.recv() => {}, _ = signals.interrupt.recv() => {} }
@@ -282,7 +291,10 @@
         let memory = self.config.memory_mb << 20;
         let own = Self::own(&self.files, self.as_json, memory).await.map_err(|faults| told(&faults))?;
         let admin = self.admin_listener(&own).await?;
-        let fixed = self.config.wants_restart(&newer);
+        let mut fixed = self.config.wants_restart(&newer);
+        if own.fleet != self.fleet {
+            fixed.push("fleet");
+        }
         if !fixed.is_empty() {
             log::warn!("only a restart takes over what is new in {}", fixed.join(", "));
         }
--- a/crates/gatherer/src/protocol/event.rs
+++ b/crates/gatherer/src/protocol/event.rs
@@ -24,6 +24,8 @@
     /// A list, and whether there was room for it: it is taken whole or not at all.
     Listed(List, oneshot::Sender<bool>),
     ListFailed,
+    /// So many gatherers are alive, as far as that is known now.
+    Fleet(Option<u32>),
     /// A connection to a shard server is up, has brought an answer, or is no more.
     Up(u64),
     Answered {
--- a/crates/gatherer/src/routing/mod.rs
+++ b/crates/gatherer/src/routing/mod.rs
@@ -172,6 +172,7 @@
                 self.gatherer.list_failed();
                 self.carry_out();
             }
+            Event::Fleet(alive) => self.gatherer.fleet_is(alive),
             Event::Up(lane) => self.pool.up(lane),
             Event::Answered { lane, id, end, value, room } => {
                 self.answered(lane, &id, end, value);
--- a/crates/gatherer/src/transport/discovery.rs
+++ b/crates/gatherer/src/transport/discovery.rs
@@ -9,7 +9,7 @@
 use ashvane_memory::{Charge, Ledger, Purpose};
 use ashvane_settings::Network;
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Empty, Limited};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Body as _;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -53,7 +53,7 @@
 impl Discovery {
     /// Asks for what is newer than a revision, or at once for the whole list.
     async fn ask(
-        &self, client: &Client<HttpConnector, Empty<Bytes>>, after: Option<u64>,
+        &self, client: &Client<HttpConnector, Full<Bytes>>, after: Option<u64>,
     ) -> Result<(List, Charge), Words> {
         let wait = after.map_or(Duration::ZERO, |_| WAIT);
         let watch =
--- /dev/null
+++ b/crates/gatherer/src/transport/keepers.rs
@@ -0,0 +1,305 @@
+//! The link to the keepers: calls at the pace that the fleet's package says, this gatherer's seat at the roster, and
+//! its rounds as the roster's owner. HTTP/1.1 with JSON. What is decided is decided in `ashvane-fleet`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ashvane_config::FleetSettings;
+use ashvane_fleet::record::{Lease, NAME_MOST, Reply, Table};
+use ashvane_fleet::roster::{Heard, Reader, Roster};
+use ashvane_fleet::seat::Turn;
+use ashvane_fleet::{Duty as _, Fence, Pace, Seat, Stamp, Terms};
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use rustix::time::{ClockId, clock_gettime};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::protocol::event::{Event, Phase};
+
+/// The longest answer that is read, in bytes: a table at its longest, and some more.
+const ANSWER_MOST: usize = 256 * 1024;
+/// The longest that a call may take, whatever the lease.
+const CALL_MOST: Duration = Duration::from_secs(1);
+/// Pause before an owner tries another keeper for its renewal.
+const AGAIN: Duration = Duration::from_millis(150);
+/// Time in which a duty is handed over at the end.
+const HAND_OVER: Duration = Duration::from_millis(400);
+
+/// Time on the clock that also runs while the machine sleeps.
+fn now() -> Duration {
+    let at = clock_gettime(ClockId::Boottime);
+    Duration::new(u64::try_from(at.tv_sec).unwrap_or_default(), u32::try_from(at.tv_nsec).unwrap_or_default())
+}
+
+/// What a keeper tells.
+#[derive(Deserialize)]
+struct Told {
+    leader: Option<u64>,
+    free: bool,
+    #[serde(default)]
+    duties: std::collections::BTreeMap<String, Lease>,
+    #[serde(default)]
+    tables: std::collections::BTreeMap<String, Table>,
+}
+
+/// What it answers to an owner.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Answered {
+    Reply(Reply),
+    Elsewhere { leader: Option<u64> },
+}
+
+pub struct Keepers {
+    /// This process, by a name that no other process has or had.
+    who: String,
+    name: String,
+    numbers: Vec<u64>,
+    addresses: Vec<SocketAddr>,
+    terms: Terms,
+    every: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+    events: mpsc::Sender<Event>,
+    pace: Pace,
+    seat: Seat,
+    roster: Roster,
+    reader: Reader,
+    fence: Fence,
+    /// The keeper that leads, as a place in the list, as far as is known.
+    leader: Option<usize>,
+    /// How long the last call took.
+    took: Duration,
+    renew_at: Duration,
+    round_at: Duration,
+    alive: Option<u32>,
+}
+
+impl Keepers {
+    pub fn new(name: &str, seed: u64, settings: &FleetSettings, events: mpsc::Sender<Event>) -> Keepers {
+        let (began, every, terms) = (now(), settings.every(), settings.terms());
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(1).build(connector);
+        let (numbers, addresses): (Vec<u64>, Vec<SocketAddr>) =
+            settings.keepers.iter().map(|(n, a)| (*n, *a)).unzip();
+        let short = |most: usize| name.chars().take(most).collect::<String>();
+        Keepers {
+            who: format!("{}@{}", short(NAME_MOST / 8), began.as_nanos()),
+            name: short(NAME_MOST / 4),
+            pace: Pace::new(every, addresses.len(), seed, began),
+            numbers,
+            addresses,
+            terms,
+            every,
+            client,
+            events,
+            seat: Seat::default(),
+            roster: Roster::new(every),
+            reader: Reader::default(),
+            fence: Fence::default(),
+            leader: None,
+            took: Duration::MAX,
+            renew_at: Duration::MAX,
+            round_at: Duration::MAX,
+            alive: None,
+        }
+    }
+
+    /// Calls until the program ends; then hands over what it owns.
+    pub async fn run(mut self, mut phase: watch::Receiver<Phase>) {
+        loop {
+            let at = now();
+            if let Some(turn) = self.seat.at(at, &self.terms) {
+                self.turned(turn);
+            }
+            if at >= self.renew_at {
+                self.renew().await;
+            } else if at >= self.round_at {
+                self.round().await;
+            } else if at >= self.pace.next().0 {
+                self.call().await;
+            }
+            self.tell().await;
+            let next = self.pace.next().0.min(self.renew_at).min(self.round_at);
+            let ending = async {
+                let draining = |phase: &Phase| matches!(phase, Phase::Draining | Phase::Closing);
+                if phase.wait_for(draining).await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            tokio::select! {
+                () = sleep(next.saturating_sub(now())) => {}
+                () = ending => return self.hand_over().await,
+            }
+        }
+    }
+
+    /// The most that one call may take: two more have to fit into a lease.
+    fn limit(&self) -> Duration {
+        self.terms.renews_after().min(CALL_MOST)
+    }
+
+    async fn send<T: DeserializeOwned>(
+        &self, at: usize, path: &str, body: Option<Value>,
+    ) -> Result<T, String> {
+        let address = self.addresses.get(at).ok_or("no such keeper")?;
+        let uri = format!("http://{address}{path}");
+        let request = match body {
+            Some(body) => Request::post(uri)
+                .header("content-type", "application/json")
+                .body(Full::new(Bytes::from(body.to_string()))),
+            None => Request::get(uri).body(Full::default()),
+        };
+        let request = request.map_err(|e| e.to_string())?;
+        let asking = async {
+            let answer = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let body =
+                Limited::new(answer.into_body(), ANSWER_MOST).collect().await.map_err(|e| e.to_string())?;
+            serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())
+        };
+        timeout(self.limit(), asking).await.unwrap_or_else(|_| Err("no answer in time".into()))
+    }
+
+    /// The usual call: that this gatherer is alive, for what the keepers know.
+    async fn call(&mut self) {
+        let (began, at) = (now(), self.pace.next().1);
+        self.pace.called(began);
+        let seeks = self.seat.seeks(self.took.min(self.limit()), began, &self.terms);
+        let body = json!({"name": self.name, "seeks": seeks.then_some(Roster::NAME)});
+        match self.send::<Told>(at, "/v1/call", Some(body)).await {
+            Ok(told) => {
+                self.took = now() - began;
+                self.know(&told);
+                if told.free && self.seat.seeks(self.took, now(), &self.terms) {
+                    self.ask(json!({"take": {"duty": Roster::NAME, "who": self.who}})).await;
+                }
+            }
+            Err(words) => {
+                log::debug!("keeper {}: {words}", self.numbers[at]);
+                self.pace.failed();
+                self.leader = self.leader.filter(|leader| *leader != at);
+            }
+        }
+    }
+
+    fn place(&self, number: Option<u64>) -> Option<usize> {
+        self.numbers.iter().position(|n| Some(*n) == number)
+    }
+
+    /// What is older than what was seen is dropped: a keeper may lag, and a relay may have held this for a minute.
+    fn know(&mut self, told: &Told) {
+        self.leader = self.place(told.leader).or(self.leader);
+        let Some(table) = told.tables.get(Roster::NAME) else { return };
+        let stamp = Stamp { duty: Roster::NAME.to_owned(), epoch: table.epoch };
+        let before = self.fence.highest(Roster::NAME);
+        if !self.fence.lets(&stamp) {
+            return;
+        }
+        if table.epoch > before {
+            let holds = told.duties.get(Roster::NAME).map_or(0, |lease| lease.epoch);
+            log::info!(duty = Roster::NAME, epoch = table.epoch, holds = holds; "follows");
+        }
+        self.reader.told(table, now());
+    }
+
+    /// Asks the leading keeper; what it says goes to the seat, with when it was asked.
+    async fn ask(&mut self, asked: Value) -> Option<Reply> {
+        let at = self.leader.unwrap_or(self.pace.next().1);
+        let began = now();
+        match self.send::<Answered>(at, "/v1/ask", Some(asked)).await {
+            Ok(Answered::Reply(reply)) => {
+                let turn = self.seat.answered(began, &reply, now(), &self.terms);
+                turn.into_iter().for_each(|turn| self.turned(turn));
+                return Some(reply);
+            }
+            Ok(Answered::Elsewhere { leader }) => {
+                self.leader = self.place(leader).filter(|leader| *leader != at)
+            }
+            Err(words) => {
+                log::debug!("keeper {}: {words}", self.numbers[at]);
+                self.leader = None;
+            }
+        }
+        if self.leader.is_none() {
+            self.pace.failed();
+        }
+        None
+    }
+
+    fn turned(&mut self, turn: Turn) {
+        match turn {
+            Turn::TakenUp { epoch } => {
+                log::info!(duty = Roster::NAME, epoch = epoch; "owns");
+                self.roster.taken_up(epoch);
+                self.renew_at = now() + self.terms.renews_after();
+                self.round_at = now();
+            }
+            Turn::GivenUp => {
+                log::info!(duty = Roster::NAME; "gives up");
+                self.roster.given_up();
+                (self.renew_at, self.round_at) = (Duration::MAX, Duration::MAX);
+            }
+        }
+    }
+
+    async fn renew(&mut self) {
+        let Some(epoch) = self.seat.epoch() else { return };
+        let asked = json!({"renew": {"duty": Roster::NAME, "who": self.who, "epoch": epoch}});
+        let granted = matches!(self.ask(asked).await, Some(Reply::Granted { .. }));
+        if self.seat.epoch().is_some() {
+            self.renew_at = now() + if granted { self.terms.renews_after() } else { AGAIN };
+        }
+    }
+
+    /// One round as the roster's owner: asks the keepers whom they have heard, and writes who is alive. Where fewer than
+    /// most of them answer nothing is written, lest those that only the others hear be left out.
+    async fn round(&mut self) {
+        self.round_at = now() + self.every;
+        let mut seen = Vec::new();
+        for at in 0..self.addresses.len() {
+            if now() >= self.renew_at {
+                break;
+            }
+            seen.extend(self.send::<Heard>(at, "/v1/heard", None).await.ok());
+        }
+        if seen.len() * 2 <= self.addresses.len() {
+            return;
+        }
+        let Some(text) = self.roster.round(&seen) else { return };
+        let stamp = self.seat.permit::<Roster>(now()).and_then(|permit| permit.stamp(now()));
+        let Some(Stamp { duty, epoch }) = stamp else { return };
+        self.ask(json!({"write": {"duty": duty, "epoch": epoch, "text": text}})).await;
+    }
+
+    /// Tells the decisions how many are alive, where that is new.
+    async fn tell(&mut self) {
+        let alive = self.reader.alive(self.every, now());
+        if alive != self.alive {
+            self.alive = alive;
+            log::info!(alive = alive.unwrap_or_default(); "roster");
+            let _ = self.events.send(Event::Fleet(alive)).await;
+        }
+    }
+
+    async fn hand_over(&mut self) {
+        let Some(epoch) = self.seat.epoch() else { return };
+        // First it stops, then it says so.
+        let turn = self.seat.give_up();
+        self.turned(turn);
+        let give = json!({"give": {"duty": Roster::NAME, "who": self.who, "epoch": epoch}});
+        let giving = async {
+            while self.ask(give.clone()).await.is_none() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let _ = timeout(HAND_OVER, giving).await;
+    }
+}
--- a/crates/gatherer/src/transport/mod.rs
+++ b/crates/gatherer/src/transport/mod.rs
@@ -5,4 +5,5 @@
 pub mod discovery;
 pub mod front;
 mod head;
+pub mod keepers;
 pub mod lane;
--- a/crates/script/src/schema.rs
+++ b/crates/script/src/schema.rs
@@ -1,9 +1,11 @@
 //! Decodes what a script says into settings: every key known and of its kind, nothing said twice, and all of
 //! it in agreement. All faults are told, not the first alone.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use ashvane_config::{CapSettings, Fault, LogForm, Settings};
+use ashvane_config::{CapSettings, Fault, FleetSettings, LogForm, Settings};
+use ashvane_fleet::terms::{DRIFT_MOST, LEASE_LEAST, LEASE_MOST, keepers_faults};
 use ashvane_memory::{Limits, Purpose};
 use serde_json::Value as Json;
 
@@ -13,6 +15,11 @@
 const TOTAL_SHARE_MOST: f64 = 0.85;
 /// The least of a cap, in bytes: one body, frame or answer at its usual longest.
 const CAP_LEAST: u64 = 64 * 1024;
+/// The usual lease, clocks' drift, and time between a gatherer's calls, and the bounds of the last.
+const LEASE_MS: u64 = 3000;
+const DRIFT_PPM: u64 = 10_000;
+const EVERY_MS: u64 = 1000;
+const EVERY_LEAST_MS: u64 = 200;
 /// The most lines that may be written in a second.
 const LINES_MOST: u64 = 10_000;
 /// Names that differ by more than this are not offered as what was meant.
@@ -155,6 +162,44 @@
         }
         settings.caps.push(CapSettings { purpose, bytes, reserve });
     }
+
+    /// The keepers, as a dictionary from number to address.
+    fn keepers(&mut self) -> BTreeMap<u64, SocketAddr> {
+        let right = "{1: \"127.0.0.1:9401\", 2: ..., 3: ...}";
+        let Some(value) = self.value("keepers").cloned() else { return BTreeMap::new() };
+        let Some(members) = value.as_object() else {
+            self.wrong("keepers", format!("{} is not a dictionary as {right}", shown(&value)));
+            return BTreeMap::new();
+        };
+        let mut keepers = BTreeMap::new();
+        for (number, address) in members {
+            let found = number.parse().ok().zip(address.as_str().and_then(|text| text.parse().ok()));
+            match found {
+                Some((number, address)) => drop(keepers.insert(number, address)),
+                None => self.wrong("keepers", format!("{number:?}: {} is not as in {right}", shown(address))),
+            }
+        }
+        let named: Vec<(u64, String)> =
+            keepers.iter().map(|(n, a): (&u64, &SocketAddr)| (*n, a.to_string())).collect();
+        if named.len() == members.len() {
+            let faults = keepers_faults(named.iter().map(|(number, address)| (*number, address.as_str())));
+            faults.into_iter().for_each(|words| self.wrong("keepers", words));
+        }
+        keepers
+    }
+
+    fn fleet(&mut self, settings: &mut Settings) {
+        self.keys(&["keepers", "lease_ms", "drift_ppm", "every_ms"]);
+        self.required("keepers");
+        let keepers = self.keepers();
+        let (least, most) = (LEASE_LEAST.as_millis() as u64, LEASE_MOST.as_millis() as u64);
+        let lease_ms = self.count("lease_ms", least, most, "milliseconds").unwrap_or(LEASE_MS);
+        let drift_most = (DRIFT_MOST * 1e6) as u64;
+        let drift_ppm = self.count("drift_ppm", 0, drift_most, "parts of a million").unwrap_or(DRIFT_PPM);
+        // A candidate that calls more seldom than a lease would leave the duty without an owner for as long.
+        let every_ms = self.count("every_ms", EVERY_LEAST_MS, lease_ms, "milliseconds").unwrap_or(EVERY_MS);
+        settings.fleet = Some(FleetSettings { keepers, lease_ms, drift_ppm, every_ms });
+    }
 }
 
 /// What the settings make of the limits must agree too.
@@ -185,6 +230,7 @@
             "admin" => reader.admin(&mut settings),
             "log" => reader.log(&mut settings),
             "memory" => reader.memory(&mut settings, memory),
+            "fleet" => reader.fleet(&mut settings),
             _ => reader.cap(&mut settings, memory),
         }
     }
--- a/crates/script/src/script.rs
+++ b/crates/script/src/script.rs
@@ -91,6 +91,13 @@
     ) -> anyhow::Result<NoneType> {
         note(eval, "cap", args, named)
     }
+
+    fn fleet<'v>(
+        #[starlark(args)] args: UnpackTuple<Value<'v>>,
+        #[starlark(kwargs)] named: SmallMap<String, Value<'v>>, eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        note(eval, "fleet", args, named)
+    }
 }
 
 /// The deepest nesting of brackets, and the line it is on. Strings and comments count too: too deep there is
--- a/crates/script/tests/scripts.rs
+++ b/crates/script/tests/scripts.rs
@@ -90,3 +90,35 @@
     let told = faults("\n\nx = 1 // 0\n");
     assert!(told[0].starts_with("own.star:3: "), "{told:?}");
 }
+
+/// Guards against owners that keepers cannot hold, and against keepers that cannot agree.
+#[test]
+fn a_fleet_that_cannot_have_one_owner_is_refused() {
+    let of = |keepers: &str, rest: &str| format!("fleet(keepers = {{{keepers}}}{rest})\n");
+    let three = "1: \"127.0.0.1:9401\", 2: \"127.0.0.1:9402\", 3: \"127.0.0.1:9403\"";
+    let settings = evaluate("own.star", &of(three, ", lease_ms = 2000"), MEMORY).expect("good");
+    let fleet = settings.fleet.expect("a fleet");
+    assert_eq!((fleet.keepers.len(), fleet.lease_ms, fleet.every_ms), (3, 2000, 1000));
+    let four = format!("{three}, 4: \"127.0.0.1:9404\"");
+    let twice = three.replace("9402", "9401");
+    for (text, words) in [
+        (of(&four, ""), "4 keepers; 3 or 5 are wanted, an odd number"),
+        (of(&twice, ""), "keepers 1 and 2 both have the address 127.0.0.1:9401"),
+        (
+            of(three, ", lease_ms = 500"),
+            "fleet.lease_ms: 500 is not a whole number of milliseconds from 1500",
+        ),
+        (
+            of(three, ", every_ms = 9000"),
+            "fleet.every_ms: 9000 is not a whole number of milliseconds from 200 to 3000",
+        ),
+        (of(three, ", drift_ppm = 500000"), "fleet.drift_ppm"),
+        (of("1: \"nowhere\", 2: \"127.0.0.1:1\", 3: \"127.0.0.1:2\"", ""), "\"1\": \"nowhere\" is not as in"),
+        ("fleet(keepers = 3)\n".into(), "3 is not a dictionary"),
+        ("fleet()\n".into(), "keepers is missing"),
+        ("fleet(keeper = {})\n".into(), "keepers is the nearest known one"),
+    ] {
+        let told = faults(&text).join("\n");
+        assert!(told.contains(words), "{words}: {told}");
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -178,6 +178,8 @@
     zone: Option<u32>,
     verticals: Vec<Vertical>,
     tenants: Vec<(f64, Rate)>,
+    /// By the settings' number of gatherers, and by that of those alive where it is known.
+    stated_share: f64,
     even_share: f64,
     /// Hashed, for each part looks up each of its holders; nothing goes by its order.
     servers: HashMap<ServerId, Server>,
@@ -261,6 +263,7 @@
             zone: settings.zone,
             verticals: verticals.collect(),
             tenants: tenants.collect(),
+            stated_share: 1.0 / gatherers,
             even_share: 1.0 / gatherers,
             servers: HashMap::new(),
             holders: BTreeMap::new(),
@@ -378,6 +381,11 @@
         }
     }
 
+    /// So many gatherers are alive, this one among them; none where only the settings tell.
+    pub fn fleet_is(&mut self, alive: Option<u32>) {
+        self.even_share = alive.map_or(self.stated_share, |alive| 1.0 / f64::from(alive.max(1)));
+    }
+
     /// The list could not be had, or no longer follows its changes: ask again, ever more slowly.
     pub fn list_failed(&mut self) {
         let Some(every) = self.ask_every else { return };
