--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -196,6 +196,46 @@
     }
 }
 
+/// Each epoch has one owner; what owners write takes effect in the order of their epochs, the same at every keeper;
+/// and nobody follows an older epoch after a later one.
+fn owners(history: &History, found: &mut Found) {
+    let mut owns = BTreeMap::<(&str, u64), Node>::new();
+    let mut log = BTreeMap::<u64, (u64, Option<u64>)>::new();
+    let mut follows = BTreeMap::<(Node, &str), u64>::new();
+    for Event { at, what } in &history.events {
+        match what {
+            What::Owns { node, duty, epoch } => {
+                let first = *owns.entry((duty, *epoch)).or_insert(*node);
+                if first != *node {
+                    found.note("two-owners", *at, || format!("{first} and {node}, {duty} {epoch}"));
+                }
+            }
+            What::Agreed { node, place, epoch, wrote, .. } => {
+                let first = *log.entry(*place).or_insert((*epoch, *wrote));
+                if first != (*epoch, *wrote) {
+                    found.note("keepers-disagree", *at, || format!("{node} at {place} of the log"));
+                }
+            }
+            What::Started { node } => follows.retain(|(of, _), _| of != node),
+            What::Follows { node, duty, epoch } => {
+                let latest = follows.insert((*node, duty), *epoch).unwrap_or_default();
+                if latest > *epoch {
+                    found.note("old-owner-followed", *at, || format!("{node}: {epoch} after {latest}"));
+                }
+            }
+            _ => {}
+        }
+    }
+    let mut latest = (0, 0);
+    for (place, (epoch, wrote)) in &log {
+        let Some(version) = wrote else { continue };
+        if *epoch < latest.0 || *version <= latest.1 {
+            found.note("old-owner-acted", Duration::ZERO, || format!("at {place} of the log, epoch {epoch}"));
+        }
+        latest = (*epoch, *version);
+    }
+}
+
 /// All rules that a history breaks.
 pub fn broken(history: &History) -> Vec<Broken> {
     let (calm, mut found) = (Calm::of(history), Found::default());
@@ -203,6 +243,7 @@
     runs(history, &mut found);
     drains(history, &calm, &mut found);
     ends(history, &mut found);
+    owners(history, &mut found);
     let broken = |(rule, (times, first))| Broken { rule, times, first };
     found.0.into_iter().map(broken).collect()
 }
@@ -332,4 +373,35 @@
         }
         assert_eq!(with(&[(50, signalled("STOP"))], late), [""; 0]);
     }
+
+    #[test]
+    fn an_epoch_has_one_owner_and_nothing_of_an_older_one_counts_after_it() {
+        let duty = || "roster".to_owned();
+        let owns = |node, epoch| What::Owns { node, duty: duty(), epoch };
+        let agreed = |keeper, place, epoch, wrote| What::Agreed {
+            node: Node::Keeper(keeper),
+            place,
+            duty: duty(),
+            epoch,
+            wrote: Some(wrote),
+        };
+        let follows = |epoch| What::Follows { node: G, duty: duty(), epoch };
+        let good = [
+            (1, owns(G, 1)),
+            (2, agreed(0, 5, 1, 1)),
+            (3, agreed(1, 5, 1, 1)),
+            (4, follows(1)),
+            (5, owns(Node::Gatherer(2), 2)),
+            (6, agreed(0, 7, 2, 2)),
+            (7, follows(2)),
+        ];
+        let with = |more: (u64, What)| rules([&good[..], &[more]].concat());
+        assert_eq!(rules(good.to_vec()), [""; 0]);
+        // A keeper that starts again applies its log anew.
+        assert_eq!(with((9, agreed(0, 5, 1, 1))), [""; 0]);
+        assert_eq!(with((9, owns(Node::Gatherer(3), 2))), ["two-owners"]);
+        assert_eq!(with((9, agreed(1, 7, 1, 2))), ["keepers-disagree"]);
+        assert_eq!(with((9, agreed(1, 8, 1, 3))), ["old-owner-acted"]);
+        assert_eq!(with((9, follows(1))), ["old-owner-followed"]);
+    }
 }
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -42,6 +42,13 @@
     "full_share",
     "falls",
     "cold_falls",
+    "owners",
+    "owners_1m",
+    "takeover_median_s",
+    "takeover_last_s",
+    "takeovers",
+    "alive_last",
+    "keeper_calls_1s",
     "avoided_s",
     "wasted_calls",
     "calls_to_troubled",
@@ -112,7 +119,8 @@
     for Event { at, what } in &history.events {
         match *what {
             What::Started { node } => drop(started.insert(node, *at)),
-            What::Ready { node } => {
+            // Who was ready before the clock began tells nothing.
+            What::Ready { node } if !at.is_zero() => {
                 took.extend(started.remove(&node).map(|start| (*at - start).as_secs_f64()))
             }
             _ => {}
@@ -215,12 +223,58 @@
     out.insert("calls_to_troubled", times.len() as f64);
 }
 
+/// How soon another owns a duty once its owner is lost: killed, stopped, told to end, or cut from the keepers.
+fn owners(history: &History, out: &mut Figures) {
+    let (mut owner, mut lost, mut took) = (None, None, Vec::new());
+    let (mut by_second, mut calls) = (BTreeMap::<u64, u32>::new(), BTreeMap::<Node, u64>::new());
+    let (mut count, mut calls_most, mut alive) = (0, 0, 0);
+    for Event { at, what } in &history.events {
+        match what {
+            What::Owns { node, .. } => {
+                if owner.is_some() && owner != Some(*node) {
+                    took.extend(lost.map(|lost: Duration| (*at - lost).as_secs_f64()));
+                }
+                count += 1;
+                *by_second.entry(at.as_secs()).or_default() += 1;
+                (owner, lost) = (Some(*node), None);
+            }
+            What::Signalled { node, signal: "KILL" | "STOP" | "TERM" } if owner == Some(*node) => {
+                lost.get_or_insert(*at);
+            }
+            What::Faulted { from, to: Node::Keeper(_) } if owner == Some(*from) => {
+                lost.get_or_insert(*at);
+            }
+            What::GaveUp { node, .. } if owner == Some(*node) => {
+                lost.get_or_insert(*at);
+            }
+            What::Counts { alive: now, .. } if *now > 0 => alive = *now,
+            What::Called { node, calls: now } => {
+                let before = calls.insert(*node, *now);
+                calls_most = calls_most.max(now.saturating_sub(before.unwrap_or(*now)));
+            }
+            _ => {}
+        }
+    }
+    if count == 0 {
+        return;
+    }
+    took.sort_by(f64::total_cmp);
+    out.insert("owners", f64::from(count));
+    out.insert("owners_1m", peak(&by_second, 60));
+    out.insert("takeovers", took.len() as f64);
+    out.insert("takeover_median_s", took.get(took.len() / 2).copied().unwrap_or_default());
+    out.insert("takeover_last_s", took.last().copied().unwrap_or_default());
+    out.insert("alive_last", f64::from(alive));
+    out.insert("keeper_calls_1s", calls_most as f64);
+}
+
 pub fn measure(history: &History, mark: Duration, length: Duration) -> Figures {
     let mut out = Figures::new();
     queries(history, mark, length, &mut out);
     readiness(history, &mut out);
     calls(history, mark, &mut out);
     leaf_calls(history, mark, &mut out);
+    owners(history, &mut out);
     out.insert("events", history.events.len() as f64);
     out
 }
@@ -303,4 +357,24 @@
         assert_eq!(figures["wasted_calls"], 25.0);
         assert_eq!(figures["calls_to_troubled"], 26.0);
     }
+
+    #[test]
+    fn a_takeover_counts_from_the_first_thing_that_took_the_owner_away() {
+        let owns = |at, i, epoch| (at, What::Owns { node: Node::Gatherer(i), duty: "roster".into(), epoch });
+        let signal = |at, i, signal| (at, What::Signalled { node: Node::Gatherer(i), signal });
+        let cut = What::Faulted { from: Node::Gatherer(2), to: Node::Keeper(1) };
+        let events = vec![
+            owns(0, 1, 1),
+            signal(900, 7, "KILL"),
+            signal(1000, 1, "STOP"),
+            signal(3000, 1, "CONT"),
+            owns(4500, 2, 2),
+            (6000, cut.clone()),
+            (6001, cut),
+            owns(8000, 3, 3),
+        ];
+        let figures = measured(events, 0);
+        assert_eq!((figures["owners"], figures["takeovers"]), (3.0, 2.0));
+        assert_eq!((figures["takeover_median_s"], figures["takeover_last_s"]), (3.5, 3.5));
+    }
 }
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -68,6 +68,40 @@
         node: Node,
         line: String,
     },
+    /// A gatherer says that it owns a duty, or does not any more.
+    Owns {
+        node: Node,
+        duty: String,
+        epoch: u64,
+    },
+    GaveUp {
+        node: Node,
+        duty: String,
+    },
+    /// It follows what an owner wrote in this epoch, and counts so many that are alive.
+    Follows {
+        node: Node,
+        duty: String,
+        epoch: u64,
+    },
+    Counts {
+        node: Node,
+        alive: u32,
+    },
+    /// A keeper has applied what stands at this place of the keepers' log: the epoch that then holds, and the version of
+    /// the table where one was written.
+    Agreed {
+        node: Node,
+        place: u64,
+        duty: String,
+        epoch: u64,
+        wrote: Option<u64>,
+    },
+    /// A keeper was called so often since its start.
+    Called {
+        node: Node,
+        calls: u64,
+    },
     Asked {
         query: u64,
         node: Node,
@@ -162,13 +196,14 @@
 struct Told {
     start: Instant,
     history: History,
+    owner: Option<Node>,
 }
 
 impl Recorder {
     pub fn new(start: Instant) -> Recorder {
         Recorder {
             most: EVENTS_MOST,
-            told: Arc::new(Mutex::new(Told { start, history: History::default() })),
+            told: Arc::new(Mutex::new(Told { start, history: History::default(), owner: None })),
         }
     }
 
@@ -180,17 +215,27 @@
         let mut told = self.told();
         // The time is read under the lock: the order of the events is that of their times.
         let at = told.start.elapsed();
+        if let What::Owns { node, .. } = what {
+            told.owner = Some(node);
+        }
         match told.history.events.len() < self.most {
             true => told.history.events.push(Event { at, what }),
             false => told.history.left_out += 1,
         }
     }
 
-    /// Time begins now: of what was before, only who was started and is ready is kept, as of now.
+    /// Who said last that it owns a duty.
+    pub fn owner(&self) -> Option<Node> {
+        self.told().owner
+    }
+
+    /// Time begins now: of what was before, only who was started, is ready and owns is kept, as of now.
     pub fn zero(&self) {
+        let keeps =
+            |what: &What| matches!(what, What::Started { .. } | What::Ready { .. } | What::Owns { .. });
         let mut told = self.told();
         told.start = Instant::now();
-        told.history.events.retain(|e| matches!(e.what, What::Started { .. } | What::Ready { .. }));
+        told.history.events.retain(|e| keeps(&e.what));
         told.history.events.iter_mut().for_each(|e| e.at = Duration::ZERO);
     }
 
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -17,6 +17,9 @@
     List,
     Gatherer(u16),
     Server(u16),
+    Keeper(u16),
+    /// The gatherer that owns the roster at the moment of an act: only a plan names it so.
+    Owner,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +29,9 @@
     List,
     Gatherers,
     Servers,
+    Keepers,
+    /// The gatherer that owns the roster when the act comes.
+    Owner,
 }
 
 impl fmt::Display for Node {
@@ -35,6 +41,8 @@
             Node::List => f.write_str("list"),
             Node::Gatherer(i) => write!(f, "g{i}"),
             Node::Server(i) => write!(f, "s{i}"),
+            Node::Keeper(i) => write!(f, "k{i}"),
+            Node::Owner => f.write_str("owner"),
         }
     }
 }
@@ -49,8 +57,9 @@
     /// Its loopback address in the rig of this process: two rigs at once have others.
     pub fn address(self) -> Ipv4Addr {
         let (kind, index) = match self {
-            Node::Clients => (0, 0),
+            Node::Clients | Node::Owner => (0, 0),
             Node::List => (0, 1),
+            Node::Keeper(i) => (0, 2 + i % (IN_OCTET - 2)),
             Node::Gatherer(i) => (1, i),
             Node::Server(i) => (1 + OCTETS, i),
         };
@@ -66,9 +75,9 @@
     #[test]
     fn no_two_nodes_have_one_address() {
         let both = (0..1000).flat_map(|i| [Node::Gatherer(i), Node::Server(i)]);
-        let all = [Node::Clients, Node::List].into_iter().chain(both);
+        let all = [Node::Clients, Node::List].into_iter().chain((0..5).map(Node::Keeper)).chain(both);
         let addresses: std::collections::BTreeSet<Ipv4Addr> = all.map(Node::address).collect();
-        assert_eq!(addresses.len(), 2002);
+        assert_eq!(addresses.len(), 2007);
         assert!(addresses.iter().all(Ipv4Addr::is_loopback));
     }
 }
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -137,7 +137,7 @@
             kept.truncate(LAST_LINES - 1);
             kept.push_front(line.clone());
             drop(kept);
-            recorder.note(What::Logged { node, line });
+            recorder.note(said(node, &line).unwrap_or(What::Logged { node, line }));
         }
     }
 
@@ -192,6 +192,23 @@
     }
 }
 
+/// What a line of a process's log says of duties, if it is about them.
+fn said(node: Node, line: &str) -> Option<What> {
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    let duty = || Some(line["duty"].as_str()?.to_owned());
+    if let Some(place) = line["at"].as_u64() {
+        let (epoch, wrote) = (line["holds"]["epoch"].as_u64()?, line["reply"]["written"]["version"].as_u64());
+        return Some(What::Agreed { node, place, duty: duty()?, epoch, wrote });
+    }
+    match line["words"].as_str()? {
+        "owns" => Some(What::Owns { node, duty: duty()?, epoch: line["epoch"].as_u64()? }),
+        "gives up" => Some(What::GaveUp { node, duty: duty()? }),
+        "follows" => Some(What::Follows { node, duty: duty()?, epoch: line["epoch"].as_u64()? }),
+        "roster" => Some(What::Counts { node, alive: line["alive"].as_u64()? as u32 }),
+        _ => None,
+    }
+}
+
 /// Processor time in a `stat` file, which counts in hundredths of a second.
 pub fn processor(path: impl AsRef<Path>) -> Option<Duration> {
     let stat = std::fs::read_to_string(path).ok()?;
@@ -199,3 +216,21 @@
     let ticks = fields.next()?.parse::<u64>().ok()? + fields.next()?.parse::<u64>().ok()?;
     Some(Duration::from_millis(ticks * 10))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_said_of_duties_is_read_from_the_log_lines_and_nothing_else() {
+        let (g, k) = (Node::Gatherer(3), Node::Keeper(1));
+        let owns =
+            said(g, r#"{"at_ms":1,"name":"g3","level":"INFO","words":"owns","duty":"roster","epoch":4}"#);
+        assert_eq!(owns, Some(What::Owns { node: g, duty: "roster".into(), epoch: 4 }));
+        let line = r#"{"at":9,"duty":"roster","holds":{"owner":"x","epoch":4,"beat":2},"reply":{"written":{"version":7}}}"#;
+        let agreed = What::Agreed { node: k, place: 9, duty: "roster".into(), epoch: 4, wrote: Some(7) };
+        assert_eq!(said(k, line), Some(agreed));
+        assert_eq!(said(g, r#"{"words":"goes on","phase":"Ready"}"#), None);
+        assert_eq!(said(g, "not JSON"), None);
+    }
+}
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig.rs
@@ -38,6 +38,8 @@
 /// Pause before a client comes again that was told no time, and how much longer it may be.
 const AGAIN: Duration = Duration::from_millis(100);
 const AGAIN_SPREAD: f64 = 0.1;
+/// How far a clock's rate may be off, as keepers are told; gatherers have the same unless told otherwise.
+const DRIFT: f64 = 0.01;
 /// Bytes of a value.
 const VALUE: usize = 32;
 /// Descriptors that the rig itself needs, and each gatherer beside its links.
@@ -97,6 +99,11 @@
     ready: AtomicBool,
 }
 
+struct Keeper {
+    process: Process,
+    listen: Arc<Mutex<SocketAddr>>,
+}
+
 struct Rig {
     rehearsal: Rehearsal,
     options: Options,
@@ -104,6 +111,9 @@
     discovery: Discovery,
     servers: Vec<Arc<Server>>,
     gatherers: Vec<Gatherer>,
+    keepers: Vec<Keeper>,
+    /// Who the owner was when an act hit it, by the act's number.
+    hit_owners: Mutex<BTreeMap<usize, Node>>,
     links: BTreeMap<(Node, Node), Arc<Link>>,
     pool: clients::Pool,
     next_query: AtomicU64,
@@ -133,8 +143,9 @@
 fn descriptors(rehearsal: &Rehearsal) -> Result<(), String> {
     let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
     let (gatherers, servers) = (u64::from(rehearsal.gatherers), u64::from(rehearsal.servers));
-    // A listener and a connection for each pair, and some more where a server is dialled twice.
-    let wanted = DESCRIPTORS + gatherers * (DESCRIPTORS_EACH + 2 * servers);
+    // A listener and a connection for each pair, two where both ends are processes.
+    let each = DESCRIPTORS_EACH + 2 * servers + 3 * u64::from(rehearsal.keepers);
+    let wanted = DESCRIPTORS + gatherers * each;
     if wanted > limit {
         let words = "fewer gatherers or servers, or a higher limit (ulimit -n)";
         return Err(format!("{wanted} descriptors are needed and {limit} may be open: {words}"));
@@ -160,7 +171,25 @@
         let (discovery, list) =
             Discovery::within(rehearsal.list_rate, Arc::new(address_of), recorder.clone());
         let (mut links, mut gatherers, mut known) = (BTreeMap::new(), Vec::new(), BTreeMap::new());
+        let mut keepers = Vec::new();
+        for node in (0..rehearsal.keepers).map(Node::Keeper) {
+            let listen = Arc::new(Mutex::new(free(node).map_err(io)?));
+            keepers.push(Keeper { process: Process::new(node, recorder.clone(), unasked.clone()), listen });
+        }
+        let to_keepers = |from: Node, links: &mut BTreeMap<(Node, Node), Arc<Link>>| {
+            for keeper in keepers.iter().filter(|keeper| keeper.process.node != from) {
+                let (to, far) = (keeper.process.node, Far::Process(keeper.listen.clone()));
+                let link = Arc::new(Link::new(from, to, far, recorder.clone()).map_err(io)?);
+                links.insert((from, to), link.clone());
+                tokio::spawn(link.run());
+            }
+            Ok::<_, String>(())
+        };
+        for keeper in &keepers {
+            to_keepers(keeper.process.node, &mut links)?;
+        }
         for g in (0..rehearsal.gatherers).map(Node::Gatherer) {
+            to_keepers(g, &mut links)?;
             let mut link = |from: Node, to: Node, far: Far| {
                 let link = Arc::new(Link::new(from, to, far, recorder.clone()).map_err(io)?);
                 links.insert((from, to), link.clone());
@@ -198,6 +227,8 @@
             discovery,
             servers,
             gatherers,
+            keepers,
+            hit_owners: Mutex::default(),
             links,
             pool: clients::pool(),
             next_query: AtomicU64::new(1),
@@ -240,30 +271,94 @@
         })
     }
 
-    fn start(&self, index: u16, kept: bool) -> Result<(), String> {
-        let gatherer = &self.gatherers[usize::from(index)];
-        let node = Node::Gatherer(index);
-        let listen = usable(&gatherer.listen, node).map_err(|e| format!("{node} has no port: {e}"))?;
-        let file = self.options.folder.join(format!("g{index}.json"));
-        let text = self.config(index, listen, kept).to_string();
+    /// Where each keeper is for a node, by their numbers, as their settings have it.
+    fn keepers_of(&self, node: Node) -> Vec<(usize, SocketAddr)> {
+        let of = |(i, keeper): (usize, &Keeper)| {
+            let link = self.links.get(&(node, keeper.process.node)).map(|link| link.address);
+            let own = || *keeper.listen.lock().unwrap_or_else(PoisonError::into_inner);
+            (i + 1, link.unwrap_or_else(own))
+        };
+        self.keepers.iter().enumerate().map(of).collect()
+    }
+
+    fn write(&self, name: String, text: &str) -> Result<String, String> {
+        let file = self.options.folder.join(name);
         std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
-        let arguments = ["serve", "--log", "info", "--log-form", "json"];
-        let how = How {
-            launcher: self.options.launcher.clone(),
-            program: self.options.program.clone(),
-            arguments: arguments.map(str::to_owned).to_vec(),
-            variables: vec![("GW_CONFIG".to_owned(), file.display().to_string())],
+        Ok(file.display().to_string())
+    }
+
+    fn process(&self, node: Node) -> Option<&Process> {
+        match node {
+            Node::Gatherer(i) => self.gatherers.get(usize::from(i)).map(|g| &g.process),
+            Node::Keeper(i) => self.keepers.get(usize::from(i)).map(|k| &k.process),
+            Node::Owner => self.recorder.owner().and_then(|owner| self.process(owner)),
+            _ => None,
+        }
+    }
+
+    fn start(&self, node: Node, kept: bool) -> Result<(), String> {
+        let no_port = |e| format!("{node} has no port: {e}");
+        let lease = self.rehearsal.lease_ms;
+        let mut arguments: Vec<String> =
+            ["serve", "--log", "info", "--log-form", "json"].map(str::to_owned).into();
+        let (program, variables) = match node {
+            Node::Gatherer(index) => {
+                let gatherer = &self.gatherers[usize::from(index)];
+                let listen = usable(&gatherer.listen, node).map_err(no_port)?;
+                let config = self.config(index, listen, kept).to_string();
+                let file = self.write(format!("{node}.json"), &config)?;
+                if !self.keepers.is_empty() {
+                    let keepers = self.keepers_of(node).into_iter().map(|(n, a)| format!("{n}: \"{a}\""));
+                    let keepers = keepers.collect::<Vec<_>>().join(", ");
+                    let own = format!("fleet(keepers = {{{keepers}}}, lease_ms = {lease})\n");
+                    arguments.extend(["--settings".to_owned(), self.write(format!("{node}.star"), &own)?]);
+                }
+                gatherer.ready.store(false, Ordering::SeqCst);
+                (self.options.program.clone(), vec![("GW_CONFIG".to_owned(), file)])
+            }
+            Node::Keeper(index) => {
+                let listen = usable(&self.keepers[usize::from(index)].listen, node).map_err(no_port)?;
+                let keepers = self.keepers_of(node).into_iter().map(|(n, a)| format!("{n}={a}"));
+                let keepers = keepers.collect::<Vec<_>>().join(",");
+                let data = self.options.folder.join(node.to_string()).display().to_string();
+                let (id, listen) = (format!("{}", index + 1), listen.to_string());
+                let (lease, drift) = (lease.to_string(), DRIFT.to_string());
+                let words = ["serve", "--trace", "--id", &id, "--listen", &listen, "--data", &data];
+                let more = ["--keepers", &keepers, "--lease-ms", &lease, "--drift", &drift];
+                arguments = words.iter().chain(&more).map(|word| (*word).to_owned()).collect();
+                (self.options.program.with_file_name("ashvane-keeper"), Vec::new())
+            }
+            _ => return Ok(()),
         };
-        gatherer.ready.store(false, Ordering::SeqCst);
-        gatherer.process.start(&how)
+        let how = How { launcher: self.options.launcher.clone(), program, arguments, variables };
+        self.process(node).map_or(Ok(()), |process| process.start(&how))
     }
 
     /// Starts again once it has ended.
     async fn start_again(
-        self: Arc<Self>, index: u16, kept: bool, started: mpsc::UnboundedSender<(u16, bool)>,
+        self: Arc<Self>, node: Node, kept: bool, started: mpsc::UnboundedSender<(Node, bool)>,
     ) {
-        self.gatherers[usize::from(index)].process.ended().await;
-        let _ = started.send((index, kept));
+        let node = if node == Node::Owner { self.recorder.owner().unwrap_or(node) } else { node };
+        if let Some(process) = self.process(node) {
+            process.ended().await;
+        }
+        let _ = started.send((node, kept));
+    }
+
+    /// How often each keeper was called, second by second.
+    async fn count_calls(self: Arc<Self>) {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            for keeper in &self.keepers {
+                let address = *keeper.listen.lock().unwrap_or_else(PoisonError::into_inner);
+                let Ok(uri) = format!("http://{address}/v1/calls").parse() else { continue };
+                let Ok(Ok(answer)) = timeout(FRONT_WAIT, self.pool.get(uri)).await else { continue };
+                let body = http_body_util::BodyExt::collect(answer.into_body()).await;
+                let calls = body.ok().and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
+                let node = keeper.process.node;
+                calls.into_iter().for_each(|calls| self.recorder.note(What::Called { node, calls }));
+            }
+        }
     }
 
     /// Looks at one gatherer as the front does: takes it in when it says that it is ready, and notices late that
@@ -297,8 +392,19 @@
         }
     }
 
-    fn step(self: &Arc<Self>, step: Step, started: &mpsc::UnboundedSender<(u16, bool)>) {
-        let process = |i: u16| &self.gatherers[usize::from(i)].process;
+    fn step(self: &Arc<Self>, step: Step, started: &mpsc::UnboundedSender<(Node, bool)>) {
+        let act = |node: Node, act: Act| self.process(node).into_iter().for_each(|process| process.act(act));
+        // Who owned the duty when the act began is who it ends for.
+        let owner = |number: usize, node: Node, begins: bool| {
+            let mut hit = self.hit_owners.lock().unwrap_or_else(PoisonError::into_inner);
+            match (node, begins) {
+                (Node::Owner, true) => {
+                    *hit.entry(number).or_insert_with(|| self.recorder.owner().unwrap_or(Node::Owner))
+                }
+                (Node::Owner, false) => hit.get(&number).copied().unwrap_or(node),
+                _ => node,
+            }
+        };
         let server = |i: u16| &self.servers[usize::from(i)];
         let phase = |i: u16, phase: Option<&'static str>| {
             self.discovery.tell_typed(|list| match phase {
@@ -308,17 +414,19 @@
         };
         let link = |from, to| self.links.get(&(from, to));
         match step {
-            Step::Start { gatherer, kept } => {
-                tokio::spawn(self.clone().start_again(gatherer, kept, started.clone()));
+            Step::Start { node, kept } => {
+                tokio::spawn(self.clone().start_again(node, kept, started.clone()));
             }
-            Step::Term(i) => process(i).act(Act::Term),
-            Step::Kill(i) => process(i).act(Act::Kill),
-            Step::Stop(i) => process(i).act(Act::Stop),
-            Step::Wake(i) => process(i).act(Act::Wake),
+            Step::Term(node) => act(node, Act::Term),
+            Step::Kill(node) => act(node, Act::Kill),
+            Step::Stop { number, node } => act(owner(number, node, true), Act::Stop),
+            Step::Wake { number, node } => act(owner(number, node, false), Act::Wake),
             Step::Hit { number, from, to, way, fault } => {
+                let from = owner(number, from, true);
                 link(from, to).into_iter().for_each(|link| link.hit(number, way, fault));
             }
             Step::Mend { number, from, to, dropped } => {
+                let from = owner(number, from, false);
                 link(from, to).into_iter().for_each(|link| link.mend(number, dropped));
             }
             Step::Behave { number, server: i, vertical, manner } => {
@@ -404,7 +512,7 @@
         loop {
             let late: Vec<String> =
                 self.gatherers.iter().filter(waits).map(|g| g.process.node.to_string()).collect();
-            if late.is_empty() {
+            if late.is_empty() && (self.keepers.is_empty() || self.recorder.owner().is_some()) {
                 return Ok(());
             }
             if Instant::now() > end {
@@ -416,9 +524,10 @@
 
     /// Kills all that still run.
     async fn end(&self) {
-        self.gatherers.iter().for_each(|g| g.process.act(Act::Kill));
-        for gatherer in &self.gatherers {
-            gatherer.process.ended().await;
+        let all = || self.gatherers.iter().map(|g| &g.process).chain(self.keepers.iter().map(|k| &k.process));
+        all().for_each(|process| process.act(Act::Kill));
+        for process in all() {
+            process.ended().await;
         }
     }
 
@@ -462,8 +571,10 @@
     let mut fronts = JoinSet::new();
     (0..rehearsal.gatherers).for_each(|i| drop(fronts.spawn(rig.clone().front(i))));
     let plan: Plan = rehearsal.plan(options.seed);
-    for i in 0..rehearsal.gatherers {
-        rig.start(i, rehearsal.kept)?;
+    fronts.spawn(rig.clone().count_calls());
+    let keepers = (0..rehearsal.keepers).map(Node::Keeper);
+    for node in keepers.chain((0..rehearsal.gatherers).map(Node::Gatherer)) {
+        rig.start(node, rehearsal.kept)?;
     }
     if rehearsal.warm {
         tokio::select! {
@@ -485,7 +596,7 @@
                 Some((_, step)) => rig.step(step, &started),
                 None => asked = true,
             },
-            Some((index, kept)) = to_start.recv() => rig.start(index, kept)?,
+            Some((node, kept)) = to_start.recv() => rig.start(node, kept)?,
             Some(unasked) = ended.recv() => words.push(unasked),
             _ = &mut asking, if asked => break,
             () = sleep_until(next_look), if options.progress.is_some() => {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -154,6 +154,11 @@
     pub list_rate: Option<f64>,
     #[serde(default)]
     pub server: Model,
+    /// Keepers of who owns what: none, three or five; the lease, and how far a clock's rate may be off.
+    #[serde(default)]
+    pub keepers: u16,
+    #[serde(default = "Rehearsal::lease")]
+    pub lease_ms: u64,
     /// When the main trouble begins: some figures count from then on.
     #[serde(default)]
     pub mark_ms: u64,
@@ -173,11 +178,11 @@
 /// One thing that is done at a moment.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
-    Start { gatherer: u16, kept: bool },
-    Term(u16),
-    Kill(u16),
-    Stop(u16),
-    Wake(u16),
+    Start { node: Node, kept: bool },
+    Term(Node),
+    Kill(Node),
+    Stop { number: usize, node: Node },
+    Wake { number: usize, node: Node },
     Hit { number: usize, from: Node, to: Node, way: Way, fault: Fault },
     Mend { number: usize, from: Node, to: Node, dropped: bool },
     Behave { number: usize, server: u16, vertical: Option<String>, manner: Manner },
@@ -214,6 +219,10 @@
         1
     }
 
+    fn lease() -> u64 {
+        3000
+    }
+
     pub fn read(text: &str) -> Result<Rehearsal, String> {
         let rehearsal: Rehearsal = toml::from_str(text).map_err(|e| e.to_string())?;
         rehearsal.checked()
@@ -226,6 +235,10 @@
         };
         within("gatherers", self.gatherers.into(), 1.0, GATHERERS_MOST.into())?;
         within("servers", self.servers.into(), 1.0, SERVERS_MOST.into())?;
+        if ![0, 3, 5].contains(&self.keepers) {
+            return Err(format!("keepers is {}, not 0, 3 or 5", self.keepers));
+        }
+        within("lease_ms", self.lease_ms as f64, 1500.0, 60_000.0)?;
         within("zones", self.zones.into(), 1.0, 16.0)?;
         within("cells", self.cells.into(), 1.0, self.servers.into())?;
         within("span", self.span.into(), 1.0, self.cells.into())?;
@@ -272,6 +285,8 @@
             Kind::List => vec![Node::List],
             Kind::Gatherers => (0..self.gatherers).map(Node::Gatherer).collect(),
             Kind::Servers => (0..self.servers).map(Node::Server).collect(),
+            Kind::Keepers => (0..self.keepers).map(Node::Keeper).collect(),
+            Kind::Owner => vec![Node::Owner],
         }
     }
 
@@ -308,18 +323,17 @@
             let mut step = |at: Duration, step: Step| plan.steps.push((at, step));
             match doing {
                 Doing::Start { who } => {
-                    indices(who)
-                        .for_each(|(at, gatherer)| step(at, Step::Start { gatherer, kept: self.kept }));
+                    whom(who).for_each(|(at, node)| step(at, Step::Start { node, kept: self.kept }));
                 }
-                Doing::Term { who } => indices(who).for_each(|(at, i)| step(at, Step::Term(i))),
-                Doing::Kill { who } => indices(who).for_each(|(at, i)| step(at, Step::Kill(i))),
-                Doing::Stop { who, for_ms } => indices(who).for_each(|(at, i)| {
-                    step(at, Step::Stop(i));
-                    step(at + ms(*for_ms), Step::Wake(i));
+                Doing::Term { who } => whom(who).for_each(|(at, node)| step(at, Step::Term(node))),
+                Doing::Kill { who } => whom(who).for_each(|(at, node)| step(at, Step::Kill(node))),
+                Doing::Stop { who, for_ms } => whom(who).for_each(|(at, node)| {
+                    step(at, Step::Stop { number, node });
+                    step(at + ms(*for_ms), Step::Wake { number, node });
                 }),
-                Doing::Restart { who, after_ms, kept, softly } => indices(who).for_each(|(at, i)| {
-                    step(at, if *softly { Step::Term(i) } else { Step::Kill(i) });
-                    step(at + ms(*after_ms), Step::Start { gatherer: i, kept: *kept });
+                Doing::Restart { who, after_ms, kept, softly } => whom(who).for_each(|(at, node)| {
+                    step(at, if *softly { Step::Term(node) } else { Step::Kill(node) });
+                    step(at + ms(*after_ms), Step::Start { node, kept: *kept });
                 }),
                 Doing::Link { from, to, way, fault, for_ms, dropped } => {
                     let far = self.select(to, seed);
--- a/crates/lab/tests/rehearse.rs
+++ b/crates/lab/tests/rehearse.rs
@@ -89,6 +89,12 @@
     passes(&["late-waker", "--gatherers", "12", "--seconds", "14"]);
 }
 
+/// The roster's owner is killed, stopped and cut off in turn.
+#[test]
+fn owner() {
+    passes(&["owner", "--gatherers", "8", "--seconds", "28"]);
+}
+
 /// Guards against a rig that lets faults of the stand-ins through as the program's good work.
 #[test]
 fn what_a_stand_in_does_wrong_is_found_and_ends_with_status_1() {
--- a/deploy/ashvane.star
+++ b/deploy/ashvane.star
@@ -16,3 +16,7 @@
 # reserve is stated, so that every tenant finds its share; the reserves must fit into the total.
 for purpose in ["values", "answers"]:
     cap(purpose = purpose, bytes = MEMORY * 9 // 100)
+
+# Keepers of who owns what on behalf of the fleet; without this line this gatherer talks with none. docs/fleet.md.
+# fleet(keepers = {1: "127.0.0.1:9401", 2: "127.0.0.1:9402", 3: "127.0.0.1:9403"}, lease_ms = 3000, drift_ppm = 10000,
+#       every_ms = 1000)
