--- a/crates/gatherer/src/transport/keepers.rs
+++ b/crates/gatherer/src/transport/keepers.rs
@@ -8,7 +8,7 @@
 use ashvane_fleet::record::{Lease, NAME_MOST, Reply, Table};
 use ashvane_fleet::roster::{Heard, Reader, Roster};
 use ashvane_fleet::seat::Turn;
-use ashvane_fleet::{Duty as _, Fence, Pace, Seat, Stamp, Terms};
+use ashvane_fleet::{Duty as _, Fence, Pace, Permit, Seat, Stamp, Terms};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::Request;
@@ -20,13 +20,14 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::protocol::event::{Event, Phase};
 
 /// The longest answer that is read, in bytes: a table at its longest, and some more.
 const ANSWER_MOST: usize = 256 * 1024;
-/// The longest that a call may take, whatever the lease.
+/// The longest that a call may take, whatever the lease: two more have to fit into it.
 const CALL_MOST: Duration = Duration::from_secs(1);
 /// Pause before an owner tries another keeper for its renewal.
 const AGAIN: Duration = Duration::from_millis(150);
@@ -58,6 +59,42 @@
     Elsewhere { leader: Option<u64> },
 }
 
+/// What is asked of whoever leads the keepers about this gatherer's own seat. Acts of an owner are not among it: they
+/// need a permit.
+enum Asked {
+    Take,
+    Renew(u64),
+    Give(u64),
+}
+
+/// Calls to keepers, each within a limit.
+#[derive(Clone)]
+struct Line {
+    client: Client<HttpConnector, Full<Bytes>>,
+    limit: Duration,
+}
+
+impl Line {
+    async fn send<T: DeserializeOwned>(
+        &self, address: SocketAddr, path: &str, body: Option<Value>,
+    ) -> Result<T, String> {
+        let uri = format!("http://{address}{path}");
+        let request = match body {
+            Some(body) => Request::post(uri)
+                .header("content-type", "application/json")
+                .body(Full::new(Bytes::from(body.to_string()))),
+            None => Request::get(uri).body(Full::default()),
+        };
+        let request = request.map_err(|e| e.to_string())?;
+        let asking = async {
+            let answer = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let body = Limited::new(answer.into_body(), ANSWER_MOST).collect().await;
+            serde_json::from_slice(&body.map_err(|e| e.to_string())?.to_bytes()).map_err(|e| e.to_string())
+        };
+        timeout(self.limit, asking).await.unwrap_or_else(|_| Err("no answer in time".into()))
+    }
+}
+
 pub struct Keepers {
     /// This process, by a name that no other process has or had.
     who: String,
@@ -66,7 +103,7 @@
     addresses: Vec<SocketAddr>,
     terms: Terms,
     every: Duration,
-    client: Client<HttpConnector, Full<Bytes>>,
+    line: Line,
     events: mpsc::Sender<Event>,
     pace: Pace,
     seat: Seat,
@@ -99,7 +136,7 @@
             addresses,
             terms,
             every,
-            client,
+            line: Line { client, limit: terms.renews_after().min(CALL_MOST) },
             events,
             seat: Seat::default(),
             roster: Roster::new(every),
@@ -142,44 +179,18 @@
         }
     }
 
-    /// The most that one call may take: two more have to fit into a lease.
-    fn limit(&self) -> Duration {
-        self.terms.renews_after().min(CALL_MOST)
-    }
-
-    async fn send<T: DeserializeOwned>(
-        &self, at: usize, path: &str, body: Option<Value>,
-    ) -> Result<T, String> {
-        let address = self.addresses.get(at).ok_or("no such keeper")?;
-        let uri = format!("http://{address}{path}");
-        let request = match body {
-            Some(body) => Request::post(uri)
-                .header("content-type", "application/json")
-                .body(Full::new(Bytes::from(body.to_string()))),
-            None => Request::get(uri).body(Full::default()),
-        };
-        let request = request.map_err(|e| e.to_string())?;
-        let asking = async {
-            let answer = self.client.request(request).await.map_err(|e| e.to_string())?;
-            let body =
-                Limited::new(answer.into_body(), ANSWER_MOST).collect().await.map_err(|e| e.to_string())?;
-            serde_json::from_slice(&body.to_bytes()).map_err(|e| e.to_string())
-        };
-        timeout(self.limit(), asking).await.unwrap_or_else(|_| Err("no answer in time".into()))
-    }
-
     /// The usual call: that this gatherer is alive, for what the keepers know.
     async fn call(&mut self) {
         let (began, at) = (now(), self.pace.next().1);
         self.pace.called(began);
-        let seeks = self.seat.seeks(self.took.min(self.limit()), began, &self.terms);
+        let seeks = self.seat.seeks(self.took.min(self.line.limit), began, &self.terms);
         let body = json!({"name": self.name, "seeks": seeks.then_some(Roster::NAME)});
-        match self.send::<Told>(at, "/v1/call", Some(body)).await {
+        match self.line.send::<Told>(self.addresses[at], "/v1/call", Some(body)).await {
             Ok(told) => {
                 self.took = now() - began;
                 self.know(&told);
                 if told.free && self.seat.seeks(self.took, now(), &self.terms) {
-                    self.ask(json!({"take": {"duty": Roster::NAME, "who": self.who}})).await;
+                    self.ask(Asked::Take).await;
                 }
             }
             Err(words) => {
@@ -210,18 +221,34 @@
         self.reader.told(table, now());
     }
 
-    /// Asks the leading keeper; what it says goes to the seat, with when it was asked.
-    async fn ask(&mut self, asked: Value) -> Option<Reply> {
+    /// Asks the leading keeper about this gatherer's seat; what it says goes there, with when it was asked.
+    async fn ask(&mut self, asked: Asked) -> Option<Reply> {
+        let (duty, who) = (Roster::NAME, &self.who);
+        let asked = match asked {
+            Asked::Take => json!({"take": {"duty": duty, "who": who}}),
+            Asked::Renew(epoch) => json!({"renew": {"duty": duty, "who": who, "epoch": epoch}}),
+            Asked::Give(epoch) => json!({"give": {"duty": duty, "who": who, "epoch": epoch}}),
+        };
+        self.ask_leader(asked).await
+    }
+
+    /// An act of the roster's owner: its table. The permit is looked at last of all.
+    async fn write(&mut self, permit: Permit<Roster>, text: &str) {
+        let Some(Stamp { duty, epoch }) = permit.stamp(now()) else { return };
+        self.ask_leader(json!({"write": {"duty": duty, "epoch": epoch, "text": text}})).await;
+    }
+
+    async fn ask_leader(&mut self, asked: Value) -> Option<Reply> {
         let at = self.leader.unwrap_or(self.pace.next().1);
         let began = now();
-        match self.send::<Answered>(at, "/v1/ask", Some(asked)).await {
+        match self.line.send::<Answered>(self.addresses[at], "/v1/ask", Some(asked)).await {
             Ok(Answered::Reply(reply)) => {
                 let turn = self.seat.answered(began, &reply, now(), &self.terms);
                 turn.into_iter().for_each(|turn| self.turned(turn));
                 return Some(reply);
             }
             Ok(Answered::Elsewhere { leader }) => {
-                self.leader = self.place(leader).filter(|leader| *leader != at)
+                self.leader = self.place(leader).filter(|leader| *leader != at);
             }
             Err(words) => {
                 log::debug!("keeper {}: {words}", self.numbers[at]);
@@ -252,31 +279,37 @@
 
     async fn renew(&mut self) {
         let Some(epoch) = self.seat.epoch() else { return };
-        let asked = json!({"renew": {"duty": Roster::NAME, "who": self.who, "epoch": epoch}});
-        let granted = matches!(self.ask(asked).await, Some(Reply::Granted { .. }));
+        let granted = matches!(self.ask(Asked::Renew(epoch)).await, Some(Reply::Granted { .. }));
         if self.seat.epoch().is_some() {
             self.renew_at = now() + if granted { self.terms.renews_after() } else { AGAIN };
         }
     }
 
-    /// One round as the roster's owner: asks the keepers whom they have heard, and writes who is alive. Where fewer than
-    /// most of them answer nothing is written, lest those that only the others hear be left out.
+    /// One round as the roster's owner: asks all keepers at once whom they have heard, and writes who is alive. Where
+    /// fewer than most of them answer nothing is written, lest those that only the others hear be left out.
     async fn round(&mut self) {
-        self.round_at = now() + self.every;
-        let mut seen = Vec::new();
-        for at in 0..self.addresses.len() {
-            if now() >= self.renew_at {
-                break;
-            }
-            seen.extend(self.send::<Heard>(at, "/v1/heard", None).await.ok());
+        let began = now();
+        self.round_at = began + self.every;
+        let (mut asking, mut seen) = (JoinSet::new(), Vec::new());
+        for address in self.addresses.iter().copied() {
+            let line = self.line.clone();
+            asking.spawn_local(async move { line.send::<Heard>(address, "/v1/heard", None).await });
         }
+        // The renewal goes first.
+        let until = self.renew_at.saturating_sub(began);
+        let hearing = async {
+            while let Some(heard) = asking.join_next().await {
+                seen.extend(heard.ok().and_then(Result::ok));
+            }
+        };
+        let _ = timeout(until, hearing).await;
         if seen.len() * 2 <= self.addresses.len() {
             return;
         }
         let Some(text) = self.roster.round(&seen) else { return };
-        let stamp = self.seat.permit::<Roster>(now()).and_then(|permit| permit.stamp(now()));
-        let Some(Stamp { duty, epoch }) = stamp else { return };
-        self.ask(json!({"write": {"duty": duty, "epoch": epoch, "text": text}})).await;
+        if let Some(permit) = self.seat.permit::<Roster>(now()) {
+            self.write(permit, &text).await;
+        }
     }
 
     /// Tells the decisions how many are alive, where that is new.
@@ -294,9 +327,8 @@
         // First it stops, then it says so.
         let turn = self.seat.give_up();
         self.turned(turn);
-        let give = json!({"give": {"duty": Roster::NAME, "who": self.who, "epoch": epoch}});
         let giving = async {
-            while self.ask(give.clone()).await.is_none() {
+            while self.ask(Asked::Give(epoch)).await.is_none() {
                 sleep(Duration::from_millis(20)).await;
             }
         };
--- a/crates/keeper/tests/keepers.rs
+++ b/crates/keeper/tests/keepers.rs
@@ -224,6 +224,49 @@
     }
 }
 
+/// What a keeper takes after so many renewals: RENEWALS=1000000, by hand.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "minutes long: for figures"]
+async fn memory_and_disk_after_many_renewals() {
+    let renewals: u64 = std::env::var("RENEWALS").ok().and_then(|n| n.parse().ok()).unwrap_or(10_000);
+    let keepers = std::sync::Arc::new(Keepers::new("renewals", 3));
+    let leader = keepers.leader().await;
+    let began = Instant::now();
+    let each = renewals / 16;
+    let mut tasks = tokio::task::JoinSet::new();
+    for task in 0..16 {
+        let keepers = keepers.clone();
+        tasks.spawn(async move {
+            let (duty, who) = (format!("duty-{task}"), format!("owner-{task}"));
+            let take = Asked::Take { duty: duty.clone(), who: who.clone() };
+            let mut reply = keepers.ask(take.clone()).await;
+            let mut done = 0;
+            while done < each {
+                let Reply::Granted { epoch } = reply else {
+                    reply = keepers.ask(take.clone()).await;
+                    continue;
+                };
+                let renew = Asked::Renew { duty: duty.clone(), who: who.clone(), epoch };
+                let asking =
+                    post::<_, Answered>(&keepers.http, keepers.addresses[&leader], "/v1/ask", &renew);
+                reply = match asking.await {
+                    Ok((_, Answered::Reply(reply))) => reply,
+                    _ => keepers.ask(renew).await,
+                };
+                done += 1;
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+    let took = began.elapsed();
+    for (id, child) in &keepers.children {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("its status");
+        let memory = status.lines().find(|line| line.starts_with("VmRSS")).expect("its memory");
+        let file = std::fs::metadata(keepers.folder.join(format!("{id}/keeper.redb"))).expect("its file");
+        println!("keeper {id}: {memory}, {} KB on disk, {renewals} renewals in {took:?}", file.len() / 1024);
+    }
+}
+
 /// Numbers below a bound, always the same ones.
 fn fastrand_like(seed: u64) -> impl FnMut(u64) -> u64 {
     let mut state = seed;
--- a/crates/lab/src/bin/ashvane-rehearse.rs
+++ b/crates/lab/src/bin/ashvane-rehearse.rs
@@ -16,12 +16,13 @@
 ashvane-rehearse: many processes of the program, faults between them, histories checked
 
 Usage: ashvane-rehearse NAME [--seed N] [--gatherers N] [--seconds N] [--json] [--keep DIR] [--program PATH]
-       ashvane-rehearse hunt --seeds A..B [--json] [--keep DIR] [--program PATH]
+       ashvane-rehearse hunt --seeds A..B [--keepers] [--json] [--keep DIR] [--program PATH]
        ashvane-rehearse list
 
 NAME is a rehearsal that ships (see list) or a TOML file like them; docs/rehearse.md has its keys. --keep leaves the
 history (one JSON object a line), the configurations and the report in DIR. --program is the gatherer; without it the
-ashvane beside this program is started. hunt draws a script for each seed and cuts down what breaks a rule.
+ashvane beside this program is started. hunt draws a script for each seed and cuts down what breaks a rule;
+with --keepers it draws acts on keepers and on owners as well.
 
 The last line is PASS or FAIL, with each bound, what was measured and the seed. Status 0; 1 for a broken bound or rule,
 or where the machine was too busy to measure; 2 for a fault in what was asked for.
@@ -37,6 +38,7 @@
     gatherers: Option<u16>,
     seconds: Option<f64>,
     seeds: Option<String>,
+    keepers: bool,
     json: bool,
     keep: Option<PathBuf>,
     program: Option<PathBuf>,
@@ -53,13 +55,14 @@
         gatherers: arguments.opt_value_from_str("--gatherers").map_err(wrong)?,
         seconds: arguments.opt_value_from_str("--seconds").map_err(wrong)?,
         seeds: arguments.opt_value_from_str("--seeds").map_err(wrong)?,
+        keepers: arguments.contains("--keepers"),
         json: arguments.contains("--json"),
         keep: arguments.opt_value_from_str("--keep").map_err(wrong)?,
         program: arguments.opt_value_from_str("--program").map_err(wrong)?,
         name: arguments.free_from_str().map_err(|_| "no rehearsal is named; see --help")?,
     };
-    if asked.seeds.is_some() != (asked.name == "hunt") {
-        return Err("--seeds A..B goes with hunt, and hunt needs it".into());
+    if asked.seeds.is_some() != (asked.name == "hunt") || (asked.keepers && asked.name != "hunt") {
+        return Err("--seeds A..B goes with hunt, and hunt needs it; so does --keepers".into());
     }
     match arguments.finish().first() {
         Some(unknown) => Err(format!("unknown argument {unknown:?}")),
@@ -161,7 +164,7 @@
     };
     let (mut played, mut found) = (0, Vec::new());
     for seed in seeds.clone() {
-        let rehearsal = hunt::draw(seed)?;
+        let rehearsal = hunt::draw(seed, asked.keepers)?;
         played += 1;
         let Some(broken) = breaks(&rehearsal, seed).await? else { continue };
         eprintln!("seed {seed}: {broken}");
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -32,6 +32,10 @@
 list_rate = 50.0
 mark_ms = 500
 "#;
+/// What is added where keepers are hunted too: a lease so short that many fit.
+const KEEPERS: &str = "keepers = 3\nlease_ms = 1500\n";
+/// Acts on an owner and on keepers last up to so long: some leases.
+const FLEET_LAST_MS: std::ops::Range<u64> = 100..6000;
 
 fn some(rng: &mut fastrand::Rng, kind: Kind) -> Select {
     let share = [0.125, 0.25, 0.5, 0.75, 1.0][rng.usize(..5)];
@@ -101,13 +105,37 @@
     }
 }
 
-/// The script of a seed.
-pub fn draw(seed: u64) -> Result<Rehearsal, String> {
+/// An act on who owns, or on those who keep that.
+fn on_the_fleet(rng: &mut fastrand::Rng) -> Doing {
+    let for_ms = rng.u64(FLEET_LAST_MS);
+    let all = |kind| Select { kind, from: 0.0, share: 1.0, zone: None };
+    let keepers = Select { zone: None, ..some(rng, Kind::Keepers) };
+    let who = [all(Kind::Owner), all(Kind::Owner), some(rng, Kind::Gatherers), keepers.clone()];
+    let who = who[rng.usize(..4)].clone();
+    match rng.u8(..8) {
+        0..3 => Doing::Stop { who, for_ms },
+        3 => Doing::Restart { who, after_ms: for_ms / 4, kept: true, softly: rng.bool() },
+        _ => {
+            let late = Fault::Late { ms: rng.u64(10..1600), spread_ms: rng.u64(..500) };
+            let faults = [Fault::Silent, Fault::Silent, Fault::Reset, Fault::Refused, late];
+            let (fault, way) = (faults[rng.usize(..5)], [Way::Both, Way::There, Way::Back][rng.usize(..3)]);
+            Doing::Link { from: who, to: keepers, way, fault, for_ms, dropped: rng.bool() }
+        }
+    }
+}
+
+/// The script of a seed; with keepers, half of its acts are on them and on the owner.
+pub fn draw(seed: u64, keepers: bool) -> Result<Rehearsal, String> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut rehearsal = Rehearsal::read(GROUND)?;
+    let ground = if keepers { format!("{GROUND}{KEEPERS}") } else { GROUND.to_owned() };
+    let mut rehearsal = Rehearsal::read(&ground)?;
     let count = rng.usize(1..=ACTS_MOST);
     rehearsal.act = (0..count)
-        .map(|_| Act { at_ms: rng.u64(BEGIN_MS), spread_ms: rng.u64(..1500), doing: doing(&mut rng) })
+        .map(|_| {
+            let (at_ms, spread_ms) = (rng.u64(BEGIN_MS), rng.u64(..1500));
+            let doing = if keepers && rng.bool() { on_the_fleet(&mut rng) } else { doing(&mut rng) };
+            Act { at_ms, spread_ms, doing }
+        })
         .collect();
     rehearsal.checked()
 }
@@ -159,8 +187,9 @@
     fn a_seed_draws_one_script_that_can_be_played_and_all_acts_are_drawn() {
         let mut kinds = BTreeSet::new();
         for seed in 0..400 {
-            let rehearsal = draw(seed).expect("it can be played");
-            assert_eq!(rehearsal.act, draw(seed).expect("it").act);
+            let keepers = seed % 2 == 0;
+            let rehearsal = draw(seed, keepers).expect("it can be played");
+            assert_eq!(rehearsal.act, draw(seed, keepers).expect("it").act);
             let text = toml::to_string(&rehearsal).expect("it can be written down");
             assert_eq!(Rehearsal::read(&text).expect("and read").act, rehearsal.act);
             for act in &rehearsal.act {
@@ -175,7 +204,7 @@
 
     #[tokio::test]
     async fn what_is_not_needed_is_cut_out_and_what_is_left_is_shortened() {
-        let acts: Vec<Act> = (0..8).flat_map(|seed| draw(seed).expect("it").act).collect();
+        let acts: Vec<Act> = (0..8).flat_map(|seed| draw(seed, false).expect("it").act).collect();
         let who = Select { kind: Kind::Gatherers, from: 0.0, share: 0.5, zone: None };
         let stop = Act { at_ms: 700, spread_ms: 0, doing: Doing::Stop { who: who.clone(), for_ms: 3200 } };
         let kill = Act { at_ms: 900, spread_ms: 0, doing: Doing::Kill { who } };
--- a/crates/lab/src/rehearsals.rs
+++ b/crates/lab/src/rehearsals.rs
@@ -1,7 +1,7 @@
 //! The rehearsals that ship.
 
 /// Each with its name.
-pub const ALL: [(&str, &str); 7] = [
+pub const ALL: [(&str, &str); 8] = [
     ("cold-start", include_str!("../rehearsals/cold-start.toml")),
     ("mass-kill", include_str!("../rehearsals/mass-kill.toml")),
     ("split", include_str!("../rehearsals/split.toml")),
@@ -9,4 +9,5 @@
     ("late-waker", include_str!("../rehearsals/late-waker.toml")),
     ("list-trouble", include_str!("../rehearsals/list-trouble.toml")),
     ("owner", include_str!("../rehearsals/owner.toml")),
+    ("flap", include_str!("../rehearsals/flap.toml")),
 ];
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use ashvane::{Effect, Outcome, Settings};
+use ashvane::{Effect, Health, Outcome, Settings};
 use common::{Stage, ms, number, settings, vertical};
 
 fn any(need: f64) -> Settings {
@@ -309,3 +309,27 @@
     let failing = stage.log().iter().filter(|l| l.starts_with("call") && l.ends_with("s1")).count();
     assert!(failing <= 12, "{failing} of 20 went to the one that only fails: {:?}", stage.log());
 }
+
+/// Guards against a fleet that has grown and goes on by the stated number, and against a count that outlives who told it.
+#[test]
+fn a_cold_server_gets_its_share_by_the_gatherers_alive_while_their_number_is_known() {
+    let to_cold = |alive: &[Option<u32>]| {
+        let mut stage = Stage::new(any(1.0));
+        warm_up(&mut stage);
+        let now = stage.world.borrow().now;
+        stage.list("s0", Health::Ready, 0, Some(now));
+        alive.iter().for_each(|alive| stage.gatherer.fleet_is(*alive));
+        let first = stage.calls();
+        for id in (20_000..30_000).step_by(100) {
+            stage.query(id, 0, &[0, 1, 2, 3, 4, 5]);
+            stage.pass(ms(10));
+            stage.settle_all(|_, c| ended(c.called_off));
+        }
+        let w = stage.world.borrow();
+        w.calls[first..].iter().filter(|c| c.server == "s0").count()
+    };
+    let stated = to_cold(&[]);
+    let (many, few) = (to_cold(&[Some(300)]), to_cold(&[Some(1)]));
+    assert!(many > 2 * stated.max(5) && few <= stated, "{few}, {stated} and {many} calls");
+    assert_eq!(to_cold(&[Some(300), None]), stated, "nobody can tell any more");
+}
