An owner that is heard and does not hear asks no more in the second half of its time

Now it renews after a quarter of its time, and once something it asked may have been heard unanswered it asks no more after half.

--- a/crates/fleet/src/seat.rs
+++ b/crates/fleet/src/seat.rs
@@ -90,6 +90,8 @@
     latest: u64,
     /// It does not seek the duty before.
     rests_until: Duration,
+    /// Something that it asked since the last answer may have been heard.
+    doubtful: bool,
 }
 
 impl Seat {
@@ -111,6 +113,18 @@
         self.state == State::Candidate && now >= self.rests_until && took < terms.renews_after()
     }
 
+    /// What it asked was not answered, and may have been heard all the same.
+    pub fn unanswered(&mut self) {
+        self.doubtful = true;
+    }
+
+    /// Whether an owner still asks for its lease. One that is heard and does not hear would hold up its successor
+    /// with every question.
+    pub fn asks(&self, now: Duration, terms: &Terms) -> bool {
+        let State::Owner { until, .. } = self.state else { return false };
+        !self.doubtful || now + terms.silent_for() < until
+    }
+
     /// Time goes on: an owner whose lease may be over stops.
     pub fn at(&mut self, now: Duration, terms: &Terms) -> Option<Turn> {
         let State::Owner { until, .. } = self.state else { return None };
@@ -128,6 +142,7 @@
             (Reply::Granted { epoch }, State::Owner { epoch: own, until }) if epoch == own => {
                 // Answers may come in another order than they were asked for.
                 *until = (*until).max(sent + terms.owner_acts());
+                self.doubtful = false;
                 self.at(now, terms)
             }
             // An answer that comes after the lease it grants, or of an epoch that is over, grants nothing.
@@ -136,7 +151,7 @@
                 if now >= until || epoch <= self.latest {
                     return None;
                 }
-                (self.state, self.latest) = (State::Owner { epoch, until }, epoch);
+                (self.state, self.latest, self.doubtful) = (State::Owner { epoch, until }, epoch, false);
                 Some(Turn::TakenUp { epoch })
             }
             (Reply::Fenced { epoch }, State::Owner { epoch: own, .. }) if *epoch >= *own => {
@@ -210,6 +225,18 @@
         );
     }
 
+    /// Guards against a successor that waits for two leases: keepers hear the old owner, who does not hear them.
+    #[test]
+    fn who_is_heard_and_does_not_hear_asks_no_more_in_the_second_half_of_its_time() {
+        let mut seat = Seat::default();
+        seat.answered(ms(0), &Reply::Granted { epoch: 1 }, ms(10), &TERMS);
+        assert!(seat.asks(ms(2900), &TERMS), "nothing that was asked may have been heard");
+        seat.unanswered();
+        assert!(seat.asks(ms(1499), &TERMS) && !seat.asks(ms(1500), &TERMS));
+        seat.answered(ms(1400), &Reply::Granted { epoch: 1 }, ms(1550), &TERMS);
+        assert!(seat.asks(ms(4300), &TERMS), "it hears again");
+    }
+
     /// Guards against a duty that goes to and fro between those whose calls take nearly a lease.
     #[test]
     fn who_is_too_slow_to_renew_does_not_seek_and_who_lost_it_so_leaves_it_for_a_minute() {
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -11,9 +11,13 @@
 /// The most by which two clocks' rates may be taken to differ from true time. Quartz is off by 0.0001 at worst, a
 /// virtual machine's clock that is slewed by 0.0005.
 pub const DRIFT_MOST: f64 = 0.1;
-/// Renewals are asked for after this share of an owner's time: two more tries fit into the rest.
-const RENEW_SHARE: f64 = 0.33;
-/// An owner that is told to give up has so long before its lease is taken for over anyway.
+/// Renewals are asked for after this share of an owner's time.
+const RENEW_SHARE: f64 = 0.25;
+/// A call may take this share of the time until then: further tries fit in before an owner falls silent.
+const CALL_SHARE: f64 = 0.5;
+/// After this share of its time without an answer an owner asks no more: what it asks may be heard although no answer
+/// comes back, and each time it is heard keepers wait a whole lease anew.
+const SILENT_SHARE: f64 = 0.5;
 const KEEPERS_FEWEST: usize = 3;
 const KEEPERS_MOST: usize = 5;
 
@@ -42,6 +46,17 @@
         self.owner_acts().mul_f64(RENEW_SHARE)
     }
 
+    /// The longest that a call may take.
+    pub fn call_most(&self) -> Duration {
+        self.renews_after().mul_f64(CALL_SHARE)
+    }
+
+    /// So long before the end of its time an owner whose questions may have been heard and are not answered asks no
+    /// more: another is in at most a lease and a half after the last answer.
+    pub fn silent_for(&self) -> Duration {
+        self.owner_acts().mul_f64(1.0 - SILENT_SHARE)
+    }
+
     /// What is wrong with them, in words for an operator.
     pub fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
@@ -85,7 +100,8 @@
             let owner = terms.owner_acts().as_secs_f64() / (1.0 - drift);
             let keeper = terms.keeper_waits().as_secs_f64() / (1.0 + drift);
             assert!(owner <= keeper + 1e-9, "{drift}: {owner} and {keeper}");
-            assert!(terms.renews_after() * 3 <= terms.owner_acts());
+            let asks = terms.owner_acts() - terms.silent_for();
+            assert!(terms.renews_after() + terms.call_most() * 2 <= asks + Duration::from_micros(1));
         }
     }
 
--- a/crates/gatherer/src/transport/keepers.rs
+++ b/crates/gatherer/src/transport/keepers.rs
@@ -27,7 +27,7 @@
 
 /// The longest answer that is read, in bytes: a table at its longest, and some more.
 const ANSWER_MOST: usize = 256 * 1024;
-/// The longest that a call may take, whatever the lease: two more have to fit into it.
+/// The longest that a call may take, whatever the lease.
 const CALL_MOST: Duration = Duration::from_secs(1);
 /// Pause before an owner tries another keeper for its renewal.
 const AGAIN: Duration = Duration::from_millis(150);
@@ -67,6 +67,12 @@
     Give(u64),
 }
 
+/// Why a call brought no answer, and whether the keeper may have heard it.
+struct Failed {
+    words: String,
+    heard: bool,
+}
+
 /// Calls to keepers, each within a limit.
 #[derive(Clone)]
 struct Line {
@@ -77,7 +83,8 @@
 impl Line {
     async fn send<T: DeserializeOwned>(
         &self, address: SocketAddr, path: &str, body: Option<Value>,
-    ) -> Result<T, String> {
+    ) -> Result<T, Failed> {
+        let failed = |heard: bool| move |words: String| Failed { words, heard };
         let uri = format!("http://{address}{path}");
         let request = match body {
             Some(body) => Request::post(uri)
@@ -85,13 +92,15 @@
                 .body(Full::new(Bytes::from(body.to_string()))),
             None => Request::get(uri).body(Full::default()),
         };
-        let request = request.map_err(|e| e.to_string())?;
+        let request = request.map_err(|e| failed(false)(e.to_string()))?;
         let asking = async {
-            let answer = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let answer = self.client.request(request).await;
+            let answer = answer.map_err(|e| failed(!e.is_connect())(e.to_string()))?;
             let body = Limited::new(answer.into_body(), ANSWER_MOST).collect().await;
-            serde_json::from_slice(&body.map_err(|e| e.to_string())?.to_bytes()).map_err(|e| e.to_string())
+            let body = body.map_err(|e| failed(true)(e.to_string()))?.to_bytes();
+            serde_json::from_slice(&body).map_err(|e| failed(true)(e.to_string()))
         };
-        timeout(self.limit, asking).await.unwrap_or_else(|_| Err("no answer in time".into()))
+        timeout(self.limit, asking).await.unwrap_or_else(|_| Err(failed(true)("no answer in time".into())))
     }
 }
 
@@ -136,7 +145,7 @@
             addresses,
             terms,
             every,
-            line: Line { client, limit: terms.renews_after().min(CALL_MOST) },
+            line: Line { client, limit: terms.call_most().min(CALL_MOST) },
             events,
             seat: Seat::default(),
             roster: Roster::new(every),
@@ -193,7 +202,7 @@
                     self.ask(Asked::Take).await;
                 }
             }
-            Err(words) => {
+            Err(Failed { words, .. }) => {
                 log::debug!("keeper {}: {words}", self.numbers[at]);
                 self.pace.failed();
                 self.leader = self.leader.filter(|leader| *leader != at);
@@ -250,9 +259,12 @@
             Ok(Answered::Elsewhere { leader }) => {
                 self.leader = self.place(leader).filter(|leader| *leader != at);
             }
-            Err(words) => {
+            Err(Failed { words, heard }) => {
                 log::debug!("keeper {}: {words}", self.numbers[at]);
                 self.leader = None;
+                if heard {
+                    self.seat.unanswered();
+                }
             }
         }
         if self.leader.is_none() {
@@ -279,6 +291,11 @@
 
     async fn renew(&mut self) {
         let Some(epoch) = self.seat.epoch() else { return };
+        if !self.seat.asks(now(), &self.terms) {
+            // What is left of its time is left for what was asked to be answered.
+            self.renew_at = Duration::MAX;
+            return;
+        }
         let granted = matches!(self.ask(Asked::Renew(epoch)).await, Some(Reply::Granted { .. }));
         if self.seat.epoch().is_some() {
             self.renew_at = now() + if granted { self.terms.renews_after() } else { AGAIN };
