The soak reads processor time by the rig's function, not by its own copy of it

Need: reread, the rig's reader of a process's processor time stood beside the soak's own. Change: the soak calls it.

--- a/crates/lab/src/bin/ashvane-soak.rs
+++ b/crates/lab/src/bin/ashvane-soak.rs
@@ -11,6 +11,7 @@
 use ashvane_lab::discovery::{Discovery, member};
 use ashvane_lab::faults::Script;
 use ashvane_lab::levels::Levels;
+use ashvane_lab::process::processor;
 use ashvane_lab::shards::Shard;
 use serde_json::{Value, json};
 use tokio::process::{Child, Command};
@@ -190,13 +191,6 @@
     Ask { id, vertical: "near", tenant: "loud", shards, need: NEED, length: 64, deadline, retry: false }
 }
 
-/// Processor time of the program so far, in clock ticks: hundredths of a second.
-fn processor_ticks(child: &Child) -> Option<u64> {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", child.id()?)).ok()?;
-    let mut fields = stat.rsplit_once(") ")?.1.split(' ').skip(11);
-    Some(fields.next()?.parse::<u64>().ok()? + fields.next()?.parse::<u64>().ok()?)
-}
-
 /// Tells the program to end, and ends it if it does not.
 async fn end(child: &mut Child) {
     if let Some(id) = child.id() {
@@ -292,8 +286,8 @@
     sleep(Duration::from_secs(6)).await;
     let took = began.elapsed();
     let alive = child.try_wait().map_err(io)?.is_none();
-    if let Some(ticks) = processor_ticks(&child) {
-        println!("{:.1} us of processor time a query", ticks as f64 * 1e4 / options.queries as f64);
+    if let Some(used) = child.id().and_then(|id| processor(format!("/proc/{id}/stat"))) {
+        println!("{:.1} us of processor time a query", used.as_secs_f64() * 1e6 / options.queries as f64);
     }
     let peak = resident(&child).map_or(f64::NAN, |(_, peak)| peak);
     let of = |counts: &Counts, name: &str| {
