--- /dev/null
+++ b/crates/hive/src/control.rs
@@ -0,0 +1,193 @@
+//! The calls of servers and operators, each declared beside its handler.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashvane_waggle::{Beat, State as ServerState};
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::http::{HeaderValue, Response, StatusCode, header};
+use axum::routing::{get, put};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use serde_json::{Value, json};
+use slog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::hive::{Hive, Put};
+use crate::reader::At;
+
+/// The longest configuration that is read, in bytes.
+const BODY_MOST: usize = 4 << 20;
+/// Time in which a head must be whole, and for which an idle connection is kept.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// When a call that found no majority is best made again.
+const BACK_AFTER: &str = "0.2";
+
+/// A call, on its way to the one that knows.
+enum Call {
+    Beat(Beat, oneshot::Sender<bool>),
+    Left(String, oneshot::Sender<bool>),
+    Put(Bytes, oneshot::Sender<Put>),
+    Get(oneshot::Sender<Option<Option<Arc<str>>>>),
+}
+
+struct Control {
+    calls: mpsc::UnboundedSender<Call>,
+    /// Where servers are asked to send their later beats.
+    beat_target: String,
+}
+
+type Answer = Response<axum::body::Body>;
+
+fn say(status: StatusCode, body: impl Into<axum::body::Body>) -> Answer {
+    let mut answer = Response::new(body.into());
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        answer.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(BACK_AFTER));
+    }
+    answer
+}
+
+fn tell(status: StatusCode, body: &Value) -> Answer {
+    say(status, body.to_string())
+}
+
+fn no_majority() -> Answer {
+    tell(StatusCode::SERVICE_UNAVAILABLE, &json!({"faults": ["no majority of the disks answers"]}))
+}
+
+impl Control {
+    async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.calls.send(call(reply)).ok()?;
+        answer.await.ok()
+    }
+
+    fn router(self) -> Router {
+        Router::new()
+            .route("/api/instances/{id}", put(put_instance).delete(delete_instance))
+            .route("/api/configuration", put(put_configuration).get(get_configuration))
+            .route("/api/readiness", get(readiness))
+            .layer(DefaultBodyLimit::max(BODY_MOST))
+            .with_state(Arc::new(self))
+    }
+}
+
+fn beat(id: String, body: &[u8]) -> Result<Beat, Vec<String>> {
+    let value: Value = serde_json::from_slice(body).map_err(|e| vec![format!("the whole: {e}")])?;
+    let at = At::root(&value);
+    let state = at.get("state");
+    let beat = Beat {
+        id,
+        service: at.get("service").name(),
+        address: at.get("address").name(),
+        zone: at.get("zone").or(String::new(), At::name),
+        capacity: at.get("capacity").or(1, At::whole).min(u64::from(u32::MAX)) as u32,
+        state: match state.or("ready", |at| at.text()) {
+            "draining" => ServerState::Draining,
+            "ready" => ServerState::Ready,
+            _ => {
+                state.fault("ready or draining is needed here");
+                ServerState::Ready
+            }
+        },
+        seq: at.get("call-seq").or(0, At::whole),
+    };
+    if beat.address.parse::<std::net::SocketAddr>().is_err() {
+        at.get("address").fault("an address and a port are needed here");
+    }
+    let faults = at.faults();
+    if faults.is_empty() { Ok(beat) } else { Err(faults) }
+}
+
+async fn put_instance(State(control): State<Arc<Control>>, Path(id): Path<String>, body: Bytes) -> Answer {
+    let beat = match beat(id, &body) {
+        Ok(beat) => beat,
+        Err(faults) => return tell(StatusCode::BAD_REQUEST, &json!({"faults": faults})),
+    };
+    match control.ask(|reply| Call::Beat(beat, reply)).await {
+        Some(true) => tell(StatusCode::OK, &json!({"beat-target": control.beat_target})),
+        _ => no_majority(),
+    }
+}
+
+async fn delete_instance(State(control): State<Arc<Control>>, Path(id): Path<String>) -> Answer {
+    match control.ask(|reply| Call::Left(id, reply)).await {
+        Some(true) => say(StatusCode::OK, "{}"),
+        _ => no_majority(),
+    }
+}
+
+async fn put_configuration(State(control): State<Arc<Control>>, body: Bytes) -> Answer {
+    match control.ask(|reply| Call::Put(body, reply)).await {
+        Some(Put::Held(version)) => tell(StatusCode::OK, &json!({"version": version})),
+        Some(Put::Invalid(faults)) => tell(StatusCode::BAD_REQUEST, &json!({"faults": faults})),
+        _ => no_majority(),
+    }
+}
+
+async fn get_configuration(State(control): State<Arc<Control>>) -> Answer {
+    match control.ask(Call::Get).await {
+        Some(Some(Some(text))) => say(StatusCode::OK, text.to_string()),
+        Some(Some(None)) => tell(StatusCode::NOT_FOUND, &json!({"faults": ["there is none yet"]})),
+        _ => no_majority(),
+    }
+}
+
+async fn readiness() -> Answer {
+    say(StatusCode::OK, "{}")
+}
+
+async fn settle(hive: Rc<Hive>, call: Call) {
+    match call {
+        Call::Beat(beat, reply) => drop(reply.send(hive.beat(beat).await)),
+        Call::Left(id, reply) => drop(reply.send(hive.left(&id).await)),
+        Call::Get(reply) => {
+            let newest = hive.newest().await;
+            let _ = reply.send(newest.map(|filed| filed.map(|f| f.text)));
+        }
+        Call::Put(body, reply) => {
+            let put = hive.put(&body).await;
+            match &put {
+                Put::Held(version) => info!(hive.log, "configuration taken"; "version" => version),
+                Put::Invalid(faults) => {
+                    warn!(hive.log, "configuration refused"; "faults" => faults.join("; "))
+                }
+                Put::Unclear => warn!(hive.log, "no majority of disks answers"),
+            }
+            let _ = reply.send(put);
+        }
+    }
+}
+
+/// Serves the calls that come to this listener.
+pub async fn run(listener: TcpListener, beat_target: String, hive: Rc<Hive>) {
+    let (calls, mut coming) = mpsc::unbounded_channel();
+    let router = Control { calls, beat_target }.router();
+    let settling = async {
+        while let Some(call) = coming.recv().await {
+            tokio::task::spawn_local(settle(hive.clone(), call));
+        }
+    };
+    let accepting = async {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let service = TowerToHyperService::new(router.clone());
+            tokio::task::spawn_local(async move {
+                let mut http = hyper::server::conn::http1::Builder::new();
+                http.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
+                let _ = http.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    };
+    tokio::join!(settling, accepting);
+}
--- /dev/null
+++ b/crates/hive/src/hive.rs
@@ -0,0 +1,640 @@
+//! One process of the system among the others: what it knows, what it tells, what it does for all.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats};
+use ashvane_waggle::{Beat, Board, News, Node, partners};
+use slog::{Logger, info, warn};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::config::Config;
+use crate::links::{Line, Link, Links, Listener, dial};
+use crate::plane::Plane;
+use crate::register::{Asks, Register};
+use crate::settings::Settings;
+
+/// How often a process looks at its links, its servers and its duties.
+pub const TICK: Duration = Duration::from_millis(250);
+/// How often digests are compared over each link.
+const COMPARE: Duration = Duration::from_millis(1000);
+/// Pause before a process that was called in vain is called again, ...
+const DIAL_AGAIN: Duration = Duration::from_millis(500);
+/// ... and time for which another is called in its place.
+const UNREACHED: Duration = Duration::from_millis(2500);
+/// A process that was linked, and is no longer, counts as down after this time.
+const LOST_AFTER: Duration = Duration::from_millis(3000);
+/// A disk that is gone for this long gives its place to one that waits for a place, ...
+const SEAT_LOST: Duration = Duration::from_millis(2500);
+/// ... or loses it where an even number of seats gains nothing from it.
+const SEAT_DROPPED: Duration = Duration::from_secs(10);
+/// Time in which others must have taken in that a server leaves, for its word to be acknowledged.
+const CONFIRMED: Duration = Duration::from_millis(800);
+/// Time after which a configuration that others have is asked for again.
+const WANT_AGAIN: Duration = Duration::from_millis(400);
+
+struct Confirm {
+    need: usize,
+    got: BTreeSet<String>,
+    done: Option<oneshot::Sender<()>>,
+}
+
+pub struct Hive {
+    pub settings: Settings,
+    pub log: Logger,
+    started: Instant,
+    board: RefCell<Board>,
+    links: RefCell<Links>,
+    /// The newest configuration that a majority of disks is known to hold.
+    filed: RefCell<Option<Filed>>,
+    config: RefCell<Option<Rc<Config>>>,
+    register: Option<Rc<Register>>,
+    plane: Option<Rc<Plane>>,
+    confirms: RefCell<BTreeMap<u64, Confirm>>,
+    numbers: Cell<u64>,
+    dialled: RefCell<BTreeMap<String, Instant>>,
+    unreached: RefCell<BTreeMap<String, Instant>>,
+    /// Those that were linked, and since when they are not.
+    lost: RefCell<BTreeMap<String, Option<Instant>>>,
+    seat_lost: RefCell<BTreeMap<String, Instant>>,
+    wanted: Cell<Option<(u64, Instant)>>,
+    compared: Cell<Instant>,
+    /// Whether a process with a disk has told all that it knows.
+    synced: Cell<bool>,
+    /// Whether what a majority of the disks holds has been read since the start.
+    read: Cell<bool>,
+    reading: Cell<bool>,
+    changing: Cell<bool>,
+    leaving: Cell<bool>,
+}
+
+/// What becomes of an operator's configuration.
+pub enum Put {
+    Held(u64),
+    Invalid(Vec<String>),
+    /// No majority has answered: it may be held or not.
+    Unclear,
+}
+
+impl Hive {
+    pub fn new(
+        settings: Settings, me: Node, register: Option<Register>, plane: Option<Rc<Plane>>, log: Logger,
+    ) -> Rc<Self> {
+        let started = Instant::now();
+        let mut board = Board::new(me, settings.beat_every, Duration::ZERO);
+        if let Some(register) = &register {
+            board.learn(News::Seats(register.seats()), Duration::ZERO);
+        }
+        let (filed, config, confirms, dialled, unreached, lost, seat_lost, links) = Default::default();
+        let hive = Hive {
+            settings,
+            log,
+            started,
+            board: RefCell::new(board),
+            links,
+            filed,
+            config,
+            register: register.map(Rc::new),
+            plane,
+            confirms,
+            numbers: Cell::new(0),
+            dialled,
+            unreached,
+            lost,
+            seat_lost,
+            wanted: Cell::new(None),
+            compared: Cell::new(started),
+            synced: Cell::new(false),
+            read: Cell::new(false),
+            reading: Cell::new(false),
+            changing: Cell::new(false),
+            leaving: Cell::new(false),
+        };
+        Rc::new(hive)
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    fn version(&self) -> u64 {
+        self.filed.borrow().as_ref().map_or(0, |f| f.version)
+    }
+
+    fn is_comb(&self) -> bool {
+        self.register.is_some()
+    }
+
+    /// Whether clients' requests can be served here.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.synced.get() && self.config.borrow().is_some();
+        knows && !self.leaving.get() && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
+    }
+
+    pub fn leave(&self) {
+        if !self.leaving.replace(true) {
+            info!(self.log, "leaving");
+        }
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    // What is known, and how it is told on.
+
+    /// Tells others what changed here; `from` is where it came from.
+    fn spread(&self, news: Vec<News>, from: Option<u64>) {
+        if news.is_empty() {
+            return;
+        }
+        self.follow(&news);
+        let mut links = self.links.borrow_mut();
+        let numbers: Vec<u64> = links.peers().into_iter().filter(|n| Some(*n) != from).collect();
+        links.send_all(&numbers, &Line::News { number: 0, news });
+    }
+
+    /// Hands what changed to the data plane.
+    fn follow(&self, news: &[News]) {
+        let Some(plane) = &self.plane else { return };
+        let board = self.board.borrow();
+        plane.servers_changed(&board, news);
+        plane.gatherers_are(board.fronts());
+    }
+
+    fn learn(&self, news: Vec<News>, from: Option<u64>) {
+        let now = self.now();
+        let told: Vec<News> = {
+            let mut board = self.board.borrow_mut();
+            news.into_iter().flat_map(|n| board.learn(n, now)).collect()
+        };
+        self.spread(told, from);
+    }
+
+    fn compare(&self, links: &mut Links, numbers: &[u64]) {
+        let digest = self.board.borrow().digest(self.version());
+        links.send_all(numbers, &Line::Digest(digest));
+    }
+
+    /// A configuration that a majority of disks holds: from here on it is in force here.
+    fn config_is(self: &Rc<Self>, filed: Filed) {
+        if self.filed.borrow().as_ref().is_some_and(|held| *held >= filed) {
+            return;
+        }
+        let config = match Config::parse(filed.text.as_bytes()) {
+            Ok(config) => Rc::new(config),
+            Err(faults) => {
+                warn!(self.log, "a configuration that others hold cannot be read here";
+                    "version" => filed.version, "faults" => faults.join("; "));
+                return;
+            }
+        };
+        info!(self.log, "configuration in force"; "version" => filed.version);
+        *self.config.borrow_mut() = Some(config.clone());
+        *self.filed.borrow_mut() = Some(filed.clone());
+        if let Some(plane) = &self.plane {
+            plane.configured(config);
+        }
+        if let Some(register) = &self.register {
+            // What this disk has missed it is given here.
+            let own = register.ask_own(&Ask::Install { seats: Seats::default(), filed: Some(filed) });
+            tokio::task::spawn_local(own);
+        }
+        let mut links = self.links.borrow_mut();
+        let peers = links.peers();
+        self.compare(&mut links, &peers);
+    }
+
+    fn want(&self, from: u64, version: u64) {
+        let now = Instant::now();
+        let asked = self.wanted.get().is_some_and(|(v, at)| v >= version && at + WANT_AGAIN > now);
+        if version > self.version() && !asked {
+            self.wanted.set(Some((version, now)));
+            self.links.borrow_mut().send(from, &Line::Want { above: self.version() });
+        }
+    }
+
+    // Servers.
+
+    /// A server has said something. One that leaves is acknowledged only once a majority of those that hear
+    /// servers knows it, so that it does not depend on this process.
+    pub async fn beat(self: &Rc<Self>, beat: Beat) -> bool {
+        let leaves = beat.state > ashvane_waggle::State::Ready;
+        let id = beat.id.clone();
+        let told = self.board.borrow_mut().beat(beat, self.now());
+        self.spread(told, None);
+        !leaves || self.confirm(&id).await
+    }
+
+    pub async fn left(self: &Rc<Self>, id: &str) -> bool {
+        let told = self.board.borrow_mut().left(id, self.now());
+        self.spread(told, None);
+        self.confirm(id).await
+    }
+
+    async fn confirm(self: &Rc<Self>, id: &str) -> bool {
+        let Some(server) = self.board.borrow().server(id).cloned() else { return false };
+        let need = self.board.borrow().seats().majority().saturating_sub(1);
+        if need == 0 {
+            return true;
+        }
+        let number = self.numbers.get() + 1;
+        self.numbers.set(number);
+        let (done, confirmed) = oneshot::channel();
+        let confirm = Confirm { need, got: BTreeSet::new(), done: Some(done) };
+        self.confirms.borrow_mut().insert(number, confirm);
+        {
+            let mut links = self.links.borrow_mut();
+            let combs: Vec<u64> =
+                links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(number, _)| number).collect();
+            links.send_all(&combs, &Line::News { number, news: vec![News::Server(server)] });
+        }
+        let confirmed = tokio::time::timeout(CONFIRMED, confirmed).await;
+        self.confirms.borrow_mut().remove(&number);
+        matches!(confirmed, Ok(Ok(())))
+    }
+
+    fn confirmed(&self, number: u64, link: u64) {
+        let mut links = self.links.borrow_mut();
+        let Some(peer) = links.get_mut(link).filter(|l| l.peer.disk.is_some()) else { return };
+        let mut confirms = self.confirms.borrow_mut();
+        let Some(confirm) = confirms.get_mut(&number) else { return };
+        confirm.got.insert(peer.peer.name.clone());
+        if confirm.got.len() >= confirm.need
+            && let Some(done) = confirm.done.take()
+        {
+            let _ = done.send(());
+        }
+    }
+
+    // The register.
+
+    fn ask(self: &Rc<Self>, asks: Asks) {
+        let Some(register) = &self.register else { return };
+        for (seat, number, ask) in asks {
+            if seat.address == self.board.borrow().me().address {
+                let (hive, own) = (self.clone(), register.ask_own(&ask));
+                tokio::task::spawn_local(async move {
+                    if let Some(told) = own.await {
+                        hive.told(number, told);
+                    }
+                });
+                continue;
+            }
+            let mut links = self.links.borrow_mut();
+            if let Some(link) = links.at(&seat.address) {
+                links.send(link, &Line::Ask { number, ask });
+            }
+        }
+    }
+
+    fn told(self: &Rc<Self>, number: u64, told: ashvane_comb::Told) {
+        let Some(register) = &self.register else { return };
+        let (asks, seats) = register.told(number, told);
+        if let Some(seats) = seats {
+            self.learn(vec![News::Seats(seats)], None);
+        }
+        self.ask(asks);
+    }
+
+    /// An operator's configuration: checked whole, then kept on a majority of disks, then in force.
+    pub async fn put(self: &Rc<Self>, text: &[u8]) -> Put {
+        let config = match Config::parse(text) {
+            Ok(config) => config,
+            Err(faults) => return Put::Invalid(faults),
+        };
+        let (Some(register), Ok(text)) = (&self.register, std::str::from_utf8(text)) else {
+            return Put::Unclear;
+        };
+        let filed = Filed { version: config.version, text: text.into() };
+        let seats = self.board.borrow().seats().clone();
+        if seats.seats.is_empty() {
+            return Put::Unclear;
+        }
+        let (asks, outcome) = register.write(seats, filed.clone());
+        self.ask(asks);
+        match outcome.await {
+            Ok(Outcome::Held) => {
+                self.config_is(filed);
+                Put::Held(self.version())
+            }
+            _ => Put::Unclear,
+        }
+    }
+
+    /// The newest configuration that a majority of disks holds. None: no majority answers.
+    pub async fn newest(self: &Rc<Self>) -> Option<Option<Filed>> {
+        let register = self.register.as_ref()?;
+        let seats = self.board.borrow().seats().clone();
+        if seats.seats.is_empty() {
+            return None;
+        }
+        let (asks, outcome) = register.read(seats);
+        self.ask(asks);
+        match outcome.await {
+            Ok(Outcome::Found(filed)) => {
+                self.read.set(true);
+                if let Some(filed) = &filed {
+                    self.config_is(filed.clone());
+                }
+                Some(filed)
+            }
+            _ => None,
+        }
+    }
+
+    /// Reads the register at start, and whenever this disk holds something that may be held by no majority.
+    fn look_at_register(self: &Rc<Self>) {
+        let Some(register) = &self.register else { return };
+        self.ask(register.tick());
+        let ahead = register.filed().map_or(0, |f| f.version) > self.version();
+        if (!self.read.get() || ahead) && !self.reading.replace(true) {
+            let hive = self.clone();
+            tokio::task::spawn_local(async move {
+                hive.newest().await;
+                hive.reading.set(false);
+            });
+        }
+    }
+
+    // Duties.
+
+    fn lives(&self, node: &Node) -> bool {
+        let here = node.name == self.board.borrow().me().name;
+        here || (!node.down && self.links.borrow().to(&node.name).is_some())
+    }
+
+    /// Whether this process is the first live one with a disk, by name, and sees a majority of the disks.
+    fn is_first(&self) -> bool {
+        let board = self.board.borrow();
+        let combs: Vec<&Node> = board.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
+        let seated = |n: &&&Node| n.disk.as_ref().is_some_and(|d| board.seats().has(d));
+        let first = combs.iter().map(|n| &n.name).min();
+        first == Some(&board.me().name) && combs.iter().filter(seated).count() >= board.seats().majority()
+    }
+
+    /// The first live one with a seat sees to it that the seats are those of disks that live.
+    fn look_at_seats(self: &Rc<Self>) {
+        let Some(register) = &self.register else { return };
+        let now = Instant::now();
+        let next = {
+            let board = self.board.borrow();
+            let seats = board.seats();
+            let live: Vec<&Node> = board.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
+            let holds = |disk: &str| live.iter().any(|n| n.disk.as_deref() == Some(disk));
+            let mut lost = self.seat_lost.borrow_mut();
+            lost.retain(|disk, _| seats.has(disk) && !holds(disk));
+            for seat in seats.seats.iter().filter(|s| !holds(&s.disk)) {
+                lost.entry(seat.disk.to_string()).or_insert(now);
+            }
+            let first = seats.seats.iter().find(|s| holds(&s.disk));
+            let mine = first.is_some_and(|s| Some(&s.disk) == board.me().disk.as_ref());
+            let sees = seats.seats.iter().filter(|s| holds(&s.disk)).count() >= seats.majority();
+            if !mine || !sees || self.changing.get() {
+                return;
+            }
+            let gone_for = |seat: &Seat| lost.get(&*seat.disk).map(|at| now - *at);
+            let wiped = |seat: &Seat| live.iter().any(|n| n.address == seat.address && !holds(&seat.disk));
+            let fresh = live.iter().find_map(|n| {
+                let disk = n.disk.clone().filter(|disk| !seats.has(disk))?;
+                Some(Seat { disk, address: n.address.clone() })
+            });
+            let longest = |than: Duration| {
+                seats.seats.iter().find(|s| wiped(s) || gone_for(s).is_some_and(|gone| gone > than))
+            };
+            let without = |gone: Option<&Seat>| {
+                seats.seats.iter().filter(|s| Some(*s) != gone).cloned().collect::<Vec<Seat>>()
+            };
+            let next = match fresh {
+                Some(fresh) => {
+                    let mut next = without(longest(SEAT_LOST));
+                    next.push(fresh);
+                    next
+                }
+                None if seats.seats.len() % 2 == 0 && longest(SEAT_DROPPED).is_some() => {
+                    without(longest(SEAT_DROPPED))
+                }
+                None => return,
+            };
+            info!(self.log, "the set of disks is to change"; "epoch" => seats.epoch + 1,
+                "disks" => next.iter().map(|s| &*s.disk).collect::<Vec<_>>().join(" "));
+            next
+        };
+        self.changing.set(true);
+        let seats = self.board.borrow().seats().clone();
+        let (asks, outcome) = register.change(seats, next);
+        self.ask(asks);
+        let hive = self.clone();
+        tokio::task::spawn_local(async move {
+            if let Ok(Outcome::Seated(seats)) = outcome.await {
+                info!(hive.log, "the set of disks has changed"; "epoch" => seats.epoch);
+                hive.learn(vec![News::Seats(seats)], None);
+            }
+            hive.changing.set(false);
+        });
+    }
+
+    // Links.
+
+    fn call(self: &Rc<Self>, address: String) {
+        let now = Instant::now();
+        let mut dialled = self.dialled.borrow_mut();
+        if dialled.get(&address).is_some_and(|at| *at + DIAL_AGAIN > now) {
+            return;
+        }
+        dialled.insert(address.clone(), now);
+        let hive = self.clone();
+        tokio::task::spawn_local(async move {
+            if !dial(address.clone(), hive.clone()).await {
+                hive.unreached.borrow_mut().insert(address, Instant::now() + UNREACHED);
+            }
+        });
+    }
+
+    fn look_at_links(self: &Rc<Self>) {
+        let now = Instant::now();
+        self.unreached.borrow_mut().retain(|_, until| *until > now);
+        let wanted: Vec<String> = {
+            let (board, unreached, links) =
+                (self.board.borrow(), self.unreached.borrow(), self.links.borrow());
+            let reached = |n: &Node| self.is_comb() || !unreached.contains_key(&n.address);
+            let chosen = partners(board.me(), board.nodes(), self.settings.losses, reached);
+            let missing = chosen.into_iter().filter(|n| links.to(&n.name).is_none());
+            let mut wanted: Vec<String> = missing.map(|n| n.address.clone()).collect();
+            let combs = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
+            if combs == 0 || (self.is_comb() && board.seats().epoch == 0) {
+                let own = &board.me().address;
+                wanted
+                    .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
+                // None of those that one would choose answers: any other may.
+                let others = board.nodes().filter(|n| n.disk.is_some() && links.to(&n.name).is_none());
+                wanted.extend(others.filter(|n| &n.address != own).map(|n| n.address.clone()));
+            }
+            wanted
+        };
+        wanted.into_iter().for_each(|address| self.call(address));
+        let lost: Vec<String> = {
+            let links = self.links.borrow();
+            let mut lost = self.lost.borrow_mut();
+            for (name, since) in lost.iter_mut() {
+                match links.to(name) {
+                    Some(_) => *since = None,
+                    None => *since = since.or(Some(now)),
+                }
+            }
+            let gone = |since: &Option<Instant>| since.is_some_and(|at| at + LOST_AFTER < now);
+            let names = lost.iter().filter(|(_, since)| gone(since)).map(|(name, _)| name.clone()).collect();
+            lost.retain(|_, since| !gone(since));
+            names
+        };
+        for name in lost {
+            let told = self.board.borrow_mut().node_lost(&name, self.now());
+            if !told.is_empty() {
+                info!(self.log, "does not answer"; "node" => &name);
+            }
+            self.spread(told, None);
+        }
+    }
+
+    /// The addresses at which the machines of the settings file reach each other.
+    pub fn seed_addresses(&self) -> Vec<String> {
+        let ip = |seed: &String| seed.rsplit_once(':').map(|(ip, _)| ip.to_owned());
+        let port = self.settings.ports.0;
+        self.settings.seeds.iter().filter_map(ip).map(|ip| format!("{ip}:{port}")).collect()
+    }
+
+    pub fn tick(self: &Rc<Self>) {
+        self.look_at_links();
+        let first = self.is_comb() && self.is_first();
+        let told = self.board.borrow_mut().tick(first, self.now());
+        self.spread(told, None);
+        self.look_at_register();
+        self.look_at_seats();
+        let now = Instant::now();
+        if self.compared.get() + COMPARE <= now {
+            self.compared.set(now);
+            let mut links = self.links.borrow_mut();
+            let all: Vec<u64> = links.iter().map(|(number, _)| number).collect();
+            self.compare(&mut links, &all);
+        }
+    }
+
+    /// A line of counters.
+    pub fn count(&self) {
+        let (board, links) = (self.board.borrow(), self.links.borrow());
+        let c = &links.counters;
+        info!(self.log, "counters"; "nodes" => board.nodes().filter(|n| !n.down).count(),
+            "servers" => board.servers().filter(|s| s.state < ashvane_waggle::State::Gone).count(),
+            "links" => links.iter().count(), "version" => self.version(), "epoch" => board.seats().epoch,
+            "lines_out" => c.lines_out, "bytes_out" => c.bytes_out, "lines_in" => c.lines_in,
+            "unread" => c.unread, "lost" => c.lost);
+        if let Some(plane) = &self.plane {
+            plane.count();
+        }
+    }
+}
+
+impl Listener for Hive {
+    fn me(&self) -> Node {
+        self.board.borrow().me().clone()
+    }
+
+    fn links(&self) -> &RefCell<Links> {
+        &self.links
+    }
+
+    fn linked(self: &Rc<Self>, number: u64) {
+        let peer = {
+            let mut links = self.links.borrow_mut();
+            let Some(link) = links.get_mut(number) else { return };
+            let (peer, ours) = (link.peer.clone(), link.ours);
+            // Of two connections to one process, both sides keep the one that the lower address called.
+            let we_call = self.board.borrow().me().address < peer.address;
+            let others: Vec<(u64, bool)> = links
+                .iter()
+                .filter(|(other, l)| *other != number && l.peer.name == peer.name)
+                .map(|(other, l)| (other, l.peer.life == peer.life && l.ours == we_call && ours != we_call))
+                .collect();
+            for (other, keep) in others {
+                links.close(if keep { number } else { other });
+            }
+            peer
+        };
+        self.lost.borrow_mut().insert(peer.name.clone(), None);
+        self.unreached.borrow_mut().remove(&peer.address);
+        self.learn(vec![News::Node(peer)], Some(number));
+        self.compare(&mut self.links.borrow_mut(), &[number]);
+    }
+
+    fn heard(self: &Rc<Self>, number: u64, line: Line) {
+        match line {
+            Line::Hello(_) => {}
+            Line::News { number: asked, news } => {
+                self.learn(news, Some(number));
+                if asked > 0 {
+                    self.links.borrow_mut().send(number, &Line::Got { number: asked });
+                }
+            }
+            Line::Got { number: asked } => self.confirmed(asked, number),
+            Line::Digest(digest) => {
+                let mine = self.board.borrow().digest(self.version());
+                let mut comb = false;
+                if let Some(link) = self.links.borrow_mut().get_mut(number) {
+                    link.digest = Some(digest);
+                    comb = link.peer.disk.is_some();
+                }
+                if (mine.entries, mine.epoch) != (digest.entries, digest.epoch) {
+                    let summary = self.board.borrow().summary();
+                    self.links.borrow_mut().send(number, &Line::Summary(summary));
+                } else if comb {
+                    self.synced.set(true);
+                }
+                self.want(number, digest.version);
+            }
+            Line::Summary(summary) => {
+                let (news, behind, mine) = {
+                    let board = self.board.borrow();
+                    (board.newer_than(&summary), board.is_behind(&summary), board.summary())
+                };
+                let mut links = self.links.borrow_mut();
+                if !news.is_empty() {
+                    links.send(number, &Line::News { number: 0, news });
+                }
+                if behind {
+                    links.send(number, &Line::Summary(mine));
+                } else if links.get_mut(number).is_some_and(|l| l.peer.disk.is_some()) {
+                    self.synced.set(true);
+                }
+            }
+            Line::Want { above } => {
+                let filed = self.filed.borrow().clone().filter(|f| f.version > above);
+                if let Some(filed) = filed {
+                    self.links.borrow_mut().send(number, &Line::Config(filed));
+                }
+            }
+            Line::Config(filed) => self.config_is(filed),
+            Line::Ask { number: asked, ask } => {
+                let Some(register) = &self.register else { return };
+                let (hive, own) = (self.clone(), register.ask_own(&ask));
+                tokio::task::spawn_local(async move {
+                    if let Some(told) = own.await {
+                        hive.links.borrow_mut().send(number, &Line::Told { number: asked, told });
+                    }
+                });
+            }
+            Line::Told { number: asked, told } => self.told(asked, told),
+        }
+    }
+
+    fn unlinked(self: &Rc<Self>, _number: u64, link: Link) {
+        // Called again at once: it may only have started anew.
+        self.dialled.borrow_mut().remove(&link.peer.address);
+    }
+}
--- /dev/null
+++ b/crates/hive/src/links.rs
@@ -0,0 +1,230 @@
+//! Connections between the system's own processes: JSON lines both ways, each answered or compared in time.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashvane_comb::{Ask, Filed, Told};
+use ashvane_waggle::{Digest, News, Node, Summary};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncBufReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+/// The longest line that is read, in bytes: a configuration and some.
+const LINE_MOST: usize = 8 << 20;
+/// Lines that may wait to be written: a peer that does not read is cut off.
+const WAITING_MOST: usize = 4096;
+/// A peer that says nothing for this long is taken for lost: it compares digests each second.
+pub const SILENT: Duration = Duration::from_millis(2600);
+/// Time for a connection to come up, and for its first line.
+const DIAL: Duration = Duration::from_millis(1000);
+
+/// What processes say to one another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Line {
+    /// The first line both ways.
+    Hello(Node),
+    /// Newer entries; where numbered, an answer is wanted once they are taken in.
+    News {
+        number: u64,
+        news: Vec<News>,
+    },
+    Got {
+        number: u64,
+    },
+    Digest(Digest),
+    Summary(Summary),
+    /// The configuration is wanted if its version is above this.
+    Want {
+        above: u64,
+    },
+    Config(Filed),
+    Ask {
+        number: u64,
+        ask: Ask,
+    },
+    Told {
+        number: u64,
+        told: Told,
+    },
+}
+
+/// One connection as its owner sees it.
+pub struct Link {
+    pub peer: Node,
+    /// Whether this process called.
+    pub ours: bool,
+    pub since: Instant,
+    lines: mpsc::Sender<Rc<str>>,
+    pub heard: Instant,
+    /// The digest that the other told last.
+    pub digest: Option<Digest>,
+}
+
+/// Counters of what was said.
+#[derive(Default)]
+pub struct Counters {
+    pub lines_out: u64,
+    pub bytes_out: u64,
+    pub lines_in: u64,
+    pub unread: u64,
+    pub lost: u64,
+}
+
+/// All open connections, by number.
+#[derive(Default)]
+pub struct Links {
+    links: BTreeMap<u64, Link>,
+    next: u64,
+    pub counters: Counters,
+}
+
+impl Links {
+    pub fn iter(&self) -> impl Iterator<Item = (u64, &Link)> {
+        self.links.iter().map(|(number, link)| (*number, link))
+    }
+
+    pub fn get_mut(&mut self, number: u64) -> Option<&mut Link> {
+        self.links.get_mut(&number)
+    }
+
+    pub fn to(&self, name: &str) -> Option<u64> {
+        self.links.iter().find(|(_, l)| l.peer.name == name).map(|(number, _)| *number)
+    }
+
+    pub fn at(&self, address: &str) -> Option<u64> {
+        self.links.iter().find(|(_, l)| l.peer.address == address).map(|(number, _)| *number)
+    }
+
+    /// One number for each process that is connected.
+    pub fn peers(&self) -> Vec<u64> {
+        let mut seen = std::collections::BTreeSet::new();
+        self.links.iter().filter(|(_, l)| seen.insert(&l.peer.name)).map(|(number, _)| *number).collect()
+    }
+
+    fn open(&mut self, link: Link) -> u64 {
+        self.next += 1;
+        self.links.insert(self.next, link);
+        self.next
+    }
+
+    /// Its task ends once it sees that nobody is left to hand it lines.
+    pub fn close(&mut self, number: u64) -> Option<Link> {
+        self.links.remove(&number)
+    }
+
+    pub fn send(&mut self, number: u64, line: &Line) {
+        if let Ok(text) = serde_json::to_string(line) {
+            self.send_text(number, (text + "\n").into());
+        }
+    }
+
+    fn send_text(&mut self, number: u64, text: Rc<str>) {
+        let Some(link) = self.links.get(&number) else { return };
+        self.counters.lines_out += 1;
+        self.counters.bytes_out += text.len() as u64;
+        if link.lines.try_send(text).is_err() {
+            self.close(number);
+        }
+    }
+
+    /// The same to all of these.
+    pub fn send_all(&mut self, numbers: &[u64], line: &Line) {
+        let Ok(text) = serde_json::to_string(line) else { return };
+        let text: Rc<str> = (text + "\n").into();
+        numbers.iter().for_each(|number| self.send_text(*number, text.clone()));
+    }
+}
+
+/// What a process does with what it hears.
+pub trait Listener: 'static {
+    fn me(&self) -> Node;
+    fn links(&self) -> &RefCell<Links>;
+    fn linked(self: &Rc<Self>, number: u64);
+    fn heard(self: &Rc<Self>, number: u64, line: Line);
+    fn unlinked(self: &Rc<Self>, number: u64, link: Link);
+}
+
+async fn line<T: tokio::io::AsyncRead + Unpin>(reader: &mut BufReader<T>, bytes: &mut Vec<u8>) -> bool {
+    bytes.clear();
+    let mut limited = tokio::io::AsyncReadExt::take(reader, LINE_MOST as u64);
+    matches!(limited.read_until(b'\n', bytes).await, Ok(n) if n > 0 && bytes.ends_with(b"\n"))
+}
+
+/// Carries one connection to its end.
+pub async fn run<L: Listener>(stream: TcpStream, ours: bool, listener: Rc<L>) {
+    let _ = stream.set_nodelay(true);
+    let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, SILENT.as_millis() as u32);
+    let (read, mut write) = stream.into_split();
+    let mut reader = BufReader::with_capacity(4096, read);
+    let mut bytes = Vec::new();
+    let hello = serde_json::to_string(&Line::Hello(listener.me())).unwrap_or_default() + "\n";
+    if write.write_all(hello.as_bytes()).await.is_err() {
+        return;
+    }
+    if !matches!(timeout(DIAL, line(&mut reader, &mut bytes)).await, Ok(true)) {
+        return;
+    }
+    let Ok(Line::Hello(peer)) = serde_json::from_slice(&bytes) else {
+        listener.links().borrow_mut().counters.unread += 1;
+        return;
+    };
+    let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
+    let now = Instant::now();
+    let link = Link { peer, ours, since: now, lines, heard: now, digest: None };
+    let number = listener.links().borrow_mut().open(link);
+    listener.linked(number);
+    let reading = async {
+        loop {
+            if !matches!(timeout(SILENT, line(&mut reader, &mut bytes)).await, Ok(true)) {
+                return;
+            }
+            let read = serde_json::from_slice(&bytes);
+            if bytes.capacity() > 64 * 1024 {
+                bytes = Vec::new();
+            }
+            {
+                let mut links = listener.links().borrow_mut();
+                links.counters.lines_in += 1;
+                links.counters.unread += u64::from(read.is_err());
+                let Some(link) = links.get_mut(number) else { return };
+                link.heard = Instant::now();
+            }
+            let Ok(line) = read else { return };
+            listener.heard(number, line);
+        }
+    };
+    let writing = async {
+        let mut batch = String::new();
+        while let Some(text) = waiting.recv().await {
+            batch.push_str(&text);
+            while let Ok(text) = waiting.try_recv() {
+                batch.push_str(&text);
+            }
+            if write.write_all(batch.as_bytes()).await.is_err() {
+                return;
+            }
+            batch = String::new();
+        }
+    };
+    tokio::select! { () = reading => {}, () = writing => {} }
+    let link = {
+        let mut links = listener.links().borrow_mut();
+        links.counters.lost += 1;
+        links.close(number)
+    };
+    if let Some(link) = link {
+        listener.unlinked(number, link);
+    }
+}
+
+/// Calls another process.
+pub async fn dial<L: Listener>(address: String, listener: Rc<L>) -> bool {
+    let Ok(Ok(stream)) = timeout(DIAL, TcpStream::connect(&address)).await else { return false };
+    tokio::task::spawn_local(run(stream, true, listener));
+    true
+}
--- /dev/null
+++ b/crates/hive/src/main.rs
@@ -0,0 +1,78 @@
+//! The command line.
+
+use std::process::ExitCode;
+
+use ashvane_hive::program::{self, Role};
+use ashvane_hive::settings::Settings;
+use ashvane_hive::verdict::StartError;
+use getopts::Options;
+use slog::Level;
+
+const WORDS: &str = "ashvane-hive: a search front over sharded indexes
+
+    ashvane-hive forager     take clients' requests and gather their answers
+    ashvane-hive comb        keep the configuration, hear servers and operators
+    ashvane-hive check FILE  ok, or all faults of a settings file or a configuration
+    ashvane-hive version
+
+The settings file is named by ASHVANE_CONFIG or --settings.";
+
+fn settings_file(stated: Option<String>) -> Result<String, StartError> {
+    let named = stated.or_else(|| std::env::var("ASHVANE_CONFIG").ok());
+    named.ok_or_else(|| StartError::Usage { why: "ASHVANE_CONFIG names no settings file".to_owned() })
+}
+
+fn check(file: Option<&String>) -> Result<(), StartError> {
+    let file = file.ok_or_else(|| StartError::Usage { why: "check needs a file".to_owned() })?;
+    if !file.ends_with(".json") {
+        return Settings::load(file).map(|_| println!("ok"));
+    }
+    let fault = |why: String| StartError::Settings { file: file.clone(), why };
+    let text = std::fs::read(file).map_err(|e| fault(e.to_string()))?;
+    let config = ashvane_hive::config::Config::parse(&text).map_err(|faults| fault(faults.join("; ")))?;
+    println!("ok, version {}, {} routes", config.version, config.routes().count());
+    Ok(())
+}
+
+fn run() -> Result<(), StartError> {
+    let mut options = Options::new();
+    options.optopt("", "settings", "the settings file", "FILE");
+    options.optopt("", "log", "critical, error, warning, info, debug or trace", "LEVEL");
+    options.optflag("h", "help", "these words");
+    let usage = |why: String| StartError::Usage { why };
+    let matches = options.parse(std::env::args().skip(1)).map_err(|e| usage(e.to_string()))?;
+    let level = matches.opt_str("log").unwrap_or_else(|| "info".to_owned());
+    let level: Level = level.parse().map_err(|()| usage(format!("{level} is no level")))?;
+    let role = match matches.free.first().map(String::as_str) {
+        Some("forager") => Role::Forager,
+        Some("comb") => Role::Comb,
+        Some("check") => return check(matches.free.get(1)),
+        Some("version") => {
+            println!("ashvane-hive {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        None | Some("help") => {
+            println!("{}", options.usage(WORDS));
+            return Ok(());
+        }
+        Some(other) if !matches.opt_present("help") => {
+            return Err(usage(format!("{other} is no sub-command")));
+        }
+        Some(_) => {
+            println!("{}", options.usage(WORDS));
+            return Ok(());
+        }
+    };
+    let settings = Settings::load(&settings_file(matches.opt_str("settings"))?)?;
+    program::run(role, settings, program::logger(level))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("ashvane-hive: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/hive/src/merge.rs
@@ -0,0 +1,48 @@
+//! Joins the parts of a gathered answer: the greatest records, byte by byte, all equal ones kept.
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+
+/// Bytes of a record; a remainder shorter than this is none.
+const RECORD: usize = 16;
+
+/// The greatest records of all parts, the greatest first.
+pub fn greatest(parts: &[Bytes], most: usize) -> Bytes {
+    let mut records: Vec<&[u8]> = parts.iter().flat_map(|part| part.chunks_exact(RECORD)).collect();
+    if records.len() > most {
+        if most == 0 {
+            return Bytes::new();
+        }
+        records.select_nth_unstable_by(most - 1, |a, b| b.cmp(a));
+        records.truncate(most);
+    }
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    let mut merged = BytesMut::with_capacity(records.len() * RECORD);
+    records.iter().for_each(|record| merged.put_slice(record));
+    merged.freeze()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a merge that differs from the plain one: sort all, take the first.
+    #[test]
+    fn it_is_what_sorting_everything_gives() {
+        for seed in 0..300 {
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let parts: Vec<Bytes> = (0..rng.usize(1..7))
+                .map(|_| (0..rng.usize(0..200)).map(|_| rng.u8(0..2)).collect::<Vec<u8>>().into())
+                .collect();
+            let most = rng.usize(0..12);
+            let mut all: Vec<Vec<u8>> = parts
+                .iter()
+                .flat_map(|p| p.chunks(16).filter(|c| c.len() == 16))
+                .map(<[u8]>::to_vec)
+                .collect();
+            all.sort();
+            all.reverse();
+            all.truncate(most);
+            assert_eq!(greatest(&parts, most), all.concat());
+        }
+    }
+}
--- /dev/null
+++ b/crates/hive/src/pool.rs
@@ -0,0 +1,282 @@
+//! Connections to servers: one request at a time on each, kept while they are sound, never more open to a
+//! server than this gatherer's part of what it takes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::verdict::CallError;
+
+pub const ATTEMPT_ID: HeaderName = HeaderName::from_static("attempt-id");
+pub const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
+const TARGET_INSTANCE: HeaderName = HeaderName::from_static("target-instance");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Time for a connection to come up: several round trips between regions.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Time before the server's own end of an idle connection at which it is no longer used.
+const IDLE_MARGIN: Duration = Duration::from_millis(1000);
+/// How long an idle connection is kept where the server says nothing of it.
+const IDLE: Duration = Duration::from_secs(20);
+/// The longest answer that is read, in bytes.
+const ANSWER_MOST: usize = 16 << 20;
+
+/// A client's request as it is handed on: the same for every server.
+pub struct Asked {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub attempt: HeaderValue,
+}
+
+/// A server's whole answer to this request.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    until: Instant,
+}
+
+/// A server, and the connections to it.
+pub struct Target {
+    pub id: Rc<str>,
+    address: String,
+    most: Cell<usize>,
+    open: Cell<usize>,
+    idle: RefCell<Vec<Idle>>,
+    /// It takes no more: its connections are closed as they fall idle.
+    closed: Cell<bool>,
+}
+
+/// An open connection, counted as long as this lives.
+struct Open(Rc<Target>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+#[derive(Default)]
+pub struct Counters {
+    pub connects: Cell<u64>,
+    pub refused: Cell<u64>,
+    pub reused: Cell<u64>,
+    pub foreign: Cell<u64>,
+}
+
+#[derive(Default)]
+pub struct Pool {
+    targets: RefCell<BTreeMap<Rc<str>, Rc<Target>>>,
+    pub counters: Rc<Counters>,
+}
+
+fn bump(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+/// Headers that concern one connection only, and those that the connection itself names.
+pub fn drop_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != ATTEMPT_ID && *name != header::HOST)
+        .collect();
+    let always = [
+        header::CONNECTION,
+        KEEP_ALIVE,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        HeaderName::from_static("proxy-connection"),
+    ];
+    named.iter().chain(&always).for_each(|name| drop(headers.remove(name)));
+}
+
+/// How long the server keeps the connection idle, as it says; none if it closes it.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let has = |name: HeaderName, word: &str| {
+        let values = headers.get_all(name);
+        values.iter().filter_map(|v| v.to_str().ok()).any(|v| v.to_ascii_lowercase().contains(word))
+    };
+    if has(header::CONNECTION, "close") {
+        return None;
+    }
+    let stated = headers.get(KEEP_ALIVE).and_then(|v| v.to_str().ok()).and_then(|v| {
+        let part = v.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+        part.trim().parse::<u64>().ok()
+    });
+    let kept = stated.map_or(IDLE, Duration::from_secs);
+    kept.checked_sub(IDLE_MARGIN).filter(|kept| !kept.is_zero())
+}
+
+impl Target {
+    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.borrow_mut();
+        let now = Instant::now();
+        while let Some(last) = idle.pop() {
+            if last.until > now && last.sender.is_ready() {
+                return Some(last.sender);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, sender: SendRequest<Full<Bytes>>, kept: Duration) {
+        if self.closed.get() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let now = Instant::now();
+        idle.retain(|i| i.until > now && !i.sender.is_closed());
+        idle.push(Idle { sender, until: now + kept });
+    }
+
+    async fn connect(
+        self: &Rc<Self>, limit: Duration, counters: &Counters,
+    ) -> Result<SendRequest<Full<Bytes>>, CallError> {
+        if self.open.get() >= self.most.get() {
+            return Err(CallError::NoRoom { address: self.address.clone() });
+        }
+        self.open.set(self.open.get() + 1);
+        let open = Open(self.clone());
+        bump(&counters.connects);
+        let within = CONNECT.min(limit);
+        let failed = || CallError::NoConnection { address: self.address.clone(), within };
+        let connected = timeout(within, TcpStream::connect(&self.address)).await;
+        let Ok(Ok(stream)) = connected else {
+            bump(&counters.refused);
+            return Err(failed());
+        };
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed())?;
+        tokio::task::spawn_local(async move {
+            let _open = open;
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Sends a request and reads the answer whole.
+    async fn send(
+        self: &Rc<Self>, asked: &Asked, limit: Duration, counters: &Counters,
+    ) -> Result<Answer, CallError> {
+        let until = Instant::now() + limit;
+        let mut sender = match self.take_idle() {
+            Some(sender) => {
+                bump(&counters.reused);
+                sender
+            }
+            None => self.connect(limit, counters).await?,
+        };
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let mut request = Request::new(Full::new(asked.body.clone()));
+        *request.method_mut() = asked.method.clone();
+        *request.uri_mut() = asked.uri.clone();
+        *request.headers_mut() = asked.headers.clone();
+        let headers = request.headers_mut();
+        headers.insert(DEADLINE_MS, HeaderValue::from(left.max(1) as u64));
+        headers.insert(TARGET_INSTANCE, HeaderValue::from_str(&self.id).map_err(|_| CallError::NeverSent)?);
+        let answered = timeout_at(until, sender.try_send_request(request)).await;
+        let response = match answered.map_err(|_| CallError::TimedOut)? {
+            Ok(response) => response,
+            Err(mut e) => {
+                return Err(match e.take_message() {
+                    Some(_) => CallError::NeverSent,
+                    None if e.error().is_parse() => CallError::Unusable { what: "no answer in the protocol" },
+                    None => CallError::Broken,
+                });
+            }
+        };
+        let (head, body) = response.into_parts();
+        // A surplus answer to an earlier request stands where this one's is due.
+        if head.headers.get(ATTEMPT_ID) != Some(&asked.attempt) {
+            bump(&counters.foreign);
+            return Err(CallError::Unusable { what: "an answer to another request" });
+        }
+        let collected = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
+        let body = collected.map_err(|_| CallError::TimedOut)?.map_err(|_| CallError::Broken)?.to_bytes();
+        if let Some(kept) = kept_for(&head.headers) {
+            self.give_back(sender, kept);
+        }
+        let answer = Answer { status: head.status, headers: head.headers, body };
+        let status = answer.status.as_u16();
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(CallError::OtherServer);
+        }
+        if answer.headers.contains_key(NOT_EXECUTED) {
+            return Err(CallError::TurnedAway { status });
+        }
+        let encoded = answer.headers.contains_key(header::CONTENT_ENCODING);
+        if answer.status.is_success() && (encoded || !answer.headers.contains_key(SERVER_SEAL)) {
+            return Err(CallError::Unusable { what: "not the body of the server" });
+        }
+        Ok(answer)
+    }
+}
+
+impl Pool {
+    /// A server that may be sent requests, and how many connections it may have from here.
+    pub fn is_there(&self, id: &str, address: &str, most: usize) {
+        let mut targets = self.targets.borrow_mut();
+        if let Some(target) = targets.get(id) {
+            target.most.set(most);
+            target.closed.set(false);
+            return;
+        }
+        let id: Rc<str> = id.into();
+        let target = Target {
+            id: id.clone(),
+            address: address.to_owned(),
+            most: most.into(),
+            open: 0.into(),
+            idle: RefCell::default(),
+            closed: false.into(),
+        };
+        targets.insert(id, Rc::new(target));
+    }
+
+    /// A server that gets nothing more.
+    pub fn is_gone(&self, id: &str) {
+        if let Some(target) = self.targets.borrow_mut().remove(id) {
+            target.closed.set(true);
+            target.idle.borrow_mut().clear();
+        }
+    }
+
+    pub async fn send(&self, id: &str, asked: &Asked, limit: Duration) -> Result<Answer, CallError> {
+        let target = self.targets.borrow().get(id).cloned();
+        match target {
+            Some(target) => target.send(asked, limit, &self.counters).await,
+            None => Err(CallError::NeverSent),
+        }
+    }
+
+    pub fn open(&self) -> usize {
+        self.targets.borrow().values().map(|t| t.open.get()).sum()
+    }
+}
--- /dev/null
+++ b/crates/hive/src/program.rs
@@ -0,0 +1,238 @@
+//! A role from its start to its end.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ashvane_comb::{Cell, Seat, Seats};
+use ashvane_waggle::Node;
+use slog::{Drain as _, Level, Logger, info, o, warn};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, interval, sleep};
+
+use crate::control;
+use crate::disk::Disk;
+use crate::front::{self, Door};
+use crate::hive::{Hive, TICK};
+use crate::links;
+use crate::plane::Plane;
+use crate::register::Register;
+use crate::settings::Settings;
+use crate::verdict::StartError;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// How often counters are logged.
+const COUNT: Duration = Duration::from_secs(10);
+/// Time in which clients are sent elsewhere before the last connections are asked to end: whoever asks for
+/// readiness does so each second and goes by two answers.
+const TURN_AWAY: Duration = Duration::from_millis(2500);
+/// What is kept of the grace time, for the end itself.
+const GRACE_KEPT: Duration = Duration::from_millis(700);
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Takes clients' requests and gathers their answers.
+    Forager,
+    /// Keeps the configuration on its disk and hears servers and operators.
+    Comb,
+}
+
+struct Plain;
+
+impl slog::Drain for Plain {
+    type Ok = ();
+    type Err = slog::Never;
+
+    /// Lines go out as they are: the clock of the machine may jump, so each begins with seconds since start.
+    fn log(&self, record: &slog::Record, values: &slog::OwnedKVList) -> Result<(), slog::Never> {
+        use std::io::Write as _;
+        let mut line = Line(format!("{} {}", record.level().as_short_str(), record.msg()));
+        let _ = slog::KV::serialize(&record.kv(), record, &mut line);
+        let _ = slog::KV::serialize(values, record, &mut line);
+        line.0.push('\n');
+        let _ = std::io::stderr().write_all(line.0.as_bytes());
+        Ok(())
+    }
+}
+
+struct Line(String);
+
+impl slog::Serializer for Line {
+    fn emit_arguments(&mut self, key: slog::Key, value: &std::fmt::Arguments) -> slog::Result {
+        use std::fmt::Write as _;
+        write!(self.0, " {key}={value}").map_err(slog::Error::from)
+    }
+}
+
+pub fn logger(level: Level) -> Logger {
+    let since = std::time::Instant::now();
+    let seconds = slog::PushFnValue(move |_: &slog::Record, to: slog::PushFnValueSerializer| {
+        to.emit(format_args!("{:.3}", since.elapsed().as_secs_f64()))
+    });
+    Logger::root(Plain.filter_level(level).ignore_res(), o!("t" => seconds))
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bind().map_err(|why| StartError::Listen { address: address.to_string(), why })
+}
+
+/// A place among the ports that are free for what processes say to one another.
+fn listen_inside(settings: &Settings) -> Result<TcpListener, StartError> {
+    let mut last = None;
+    for port in settings.ports.0..=settings.ports.1 {
+        let text = format!("{}:{port}", settings.ip);
+        let fault = |_| StartError::Usage { why: format!("{text} is no address") };
+        match listen(text.parse().map_err(fault)?) {
+            Ok(listener) => return Ok(listener),
+            Err(e) => last = Some(e),
+        }
+    }
+    Err(last.unwrap_or(StartError::Usage { why: "internal-ports names no port".to_owned() }))
+}
+
+/// The set that the whole system starts with: the disks of the machines that all are told of.
+fn first_seats(settings: &Settings) -> Seats {
+    let seat = |seed: &String| {
+        let (ip, _) = seed.rsplit_once(':')?;
+        let address = format!("{ip}:{}", settings.ports.0);
+        Some(Seat { disk: first_name(seed), address })
+    };
+    Seats::new(1, settings.seeds.iter().filter_map(seat).collect())
+}
+
+fn first_name(control: &str) -> Arc<str> {
+    format!("first:{control}").into()
+}
+
+/// The disk's cell as it was left, or an empty one. Only at the first start of the whole system has an empty
+/// disk a name that others know beforehand: later it may be one that has forgotten what it voted for.
+async fn cell(settings: &Settings, disk: &Disk, found: crate::disk::Found, log: &Logger) -> Cell {
+    if let Some(why) = &found.spoilt {
+        warn!(log, "the disk could not be read and counts as wiped"; "why" => why);
+    }
+    if let Some(kept) = found.kept {
+        return Cell::restored(kept, found.filed);
+    }
+    let first = settings.bootstrap && found.spoilt.is_none();
+    let seats = if first { first_seats(settings) } else { Seats::default() };
+    let control = settings.control.map(|c| c.to_string()).unwrap_or_default();
+    let named = first && settings.seeds.contains(&control);
+    let name = if named { first_name(&control) } else { format!("{:016x}", fastrand::u64(..)).into() };
+    let cell = Cell::empty(name, seats);
+    let _ = disk.keep(Some(cell.kept()), None).await;
+    cell
+}
+
+async fn serve(role: Role, settings: Settings, log: Logger) -> Result<(), StartError> {
+    let inside = listen_inside(&settings)?;
+    let address = inside.local_addr().map_err(|why| StartError::Runtime { why })?;
+    let life = fastrand::u64(..);
+    let register = match &settings.data_dir {
+        None => None,
+        Some(dir) => {
+            let (disk, found) =
+                Disk::open(dir).map_err(|why| StartError::Settings { file: dir.clone(), why })?;
+            let cell = cell(&settings, &disk, found, &log).await;
+            info!(log, "disk"; "name" => &*cell.kept().disk, "epoch" => cell.kept().seats.epoch,
+                "version" => cell.filed().map_or(0, |f| f.version));
+            let name = cell.kept().disk.clone();
+            Some((Register::new(cell, disk, life), name))
+        }
+    };
+    if role == Role::Comb && register.is_none() {
+        return Err(StartError::Usage { why: "a comb needs data-dir in its settings".to_owned() });
+    }
+    let (register, disk) = register.unzip();
+    let me = Node {
+        name: settings.node.clone(),
+        life,
+        age: 1,
+        down: false,
+        address: address.to_string(),
+        control: settings.control.map(|c| c.to_string()),
+        zone: settings.zone.clone(),
+        front: settings.front.is_some(),
+        disk,
+    };
+    let plane = settings.front.map(|_| Plane::new(&settings, log.clone()));
+    let hive = Hive::new(settings.clone(), me, register, plane.clone(), log.clone());
+    let door = Rc::new(Door::default());
+    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    {
+        let hive = hive.clone();
+        spawn(Box::pin(async move {
+            loop {
+                let Ok((stream, _)) = inside.accept().await else {
+                    sleep(Duration::from_millis(50)).await;
+                    continue;
+                };
+                tokio::task::spawn_local(links::run(stream, false, hive.clone()));
+            }
+        }));
+    }
+    if let Some(address) = settings.control {
+        spawn(Box::pin(control::run(listen(address)?, address.to_string(), hive.clone())));
+    }
+    if let Some(address) = settings.readiness {
+        spawn(Box::pin(front::tell_readiness(listen(address)?, hive.clone())));
+    }
+    if let (Some(address), Some(plane)) = (settings.front, plane) {
+        spawn(Box::pin(front::run(listen(address)?, hive.clone(), plane, door.clone())));
+    }
+    info!(log, "started"; "node" => &settings.node, "address" => address.to_string());
+    let runtime = |why| StartError::Runtime { why };
+    let mut end = signal(SignalKind::terminate()).map_err(runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(runtime)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(runtime)?;
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut counted = Instant::now();
+    let mut leaving: Option<Instant> = None;
+    let mut closed = false;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => hive.tick(),
+            _ = end.recv() => drop(leaving.get_or_insert_with(Instant::now)),
+            _ = interrupt.recv() => drop(leaving.get_or_insert_with(Instant::now)),
+            _ = hangup.recv() => info!(log, "told that the settings file has changed"),
+        }
+        if counted.elapsed() >= COUNT {
+            counted = Instant::now();
+            hive.count();
+        }
+        let Some(since) = leaving else { continue };
+        hive.leave();
+        let turned_away = settings.front.is_none() || since.elapsed() >= TURN_AWAY;
+        if turned_away && !closed {
+            closed = true;
+            door.close();
+        }
+        let over = since.elapsed() + GRACE_KEPT >= settings.grace;
+        if closed && (door.open() == 0 || over) {
+            hive.count();
+            info!(log, "ended"; "open" => door.open(), "busy" => door.busy());
+            return Ok(());
+        }
+    }
+}
+
+/// Runs a role until it is told to end.
+pub fn run(role: Role, settings: Settings, log: Logger) -> Result<(), StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|why| StartError::Runtime { why })?;
+    let served = LocalSet::new().block_on(&runtime, serve(role, settings, log));
+    // A disk that hangs must not hold up the end.
+    runtime.shutdown_background();
+    served
+}
--- /dev/null
+++ b/crates/waggle/src/lib.rs
@@ -0,0 +1,110 @@
+//! What all processes of the system know: each other, the servers, the set of disks. Each entry has a rank that
+//! only rises, so that entries may arrive in any order, twice, or late, and all still agree in the end. News is
+//! an entry that rose; a gap shows in the digests that neighbours compare, and is mended entry by entry.
+//!
+//! [`Board`] is the state, without I/O or a clock; [`partners`] says who talks to whom.
+
+mod board;
+mod partners;
+
+use std::collections::BTreeMap;
+use std::hash::Hasher as _;
+
+use ashvane_comb::{DiskId, Seats};
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+pub use board::{Beat, Board};
+pub use partners::{Role, partners};
+
+/// A process of the system.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    pub name: String,
+    /// Drawn at each start.
+    pub life: u64,
+    /// Rises with each life, and whenever others took it for gone though it runs.
+    pub age: u64,
+    pub down: bool,
+    /// Where others reach it.
+    pub address: String,
+    /// Where servers and operators reach it, if they do.
+    pub control: Option<String>,
+    pub zone: String,
+    /// Whether clients reach it.
+    pub front: bool,
+    /// The name of its disk, if it has one.
+    pub disk: Option<DiskId>,
+}
+
+/// A server's state only rises: each start is a new server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    #[default]
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A server of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub address: String,
+    pub zone: String,
+    pub capacity: u32,
+    pub state: State,
+    /// Of its beats, the one that this entry stems from.
+    pub seq: u64,
+    /// Nothing was heard of it for a while.
+    pub silent: bool,
+    /// Who hears its beats.
+    pub keeper: String,
+}
+
+impl Node {
+    fn rank(&self) -> (u64, bool) {
+        (self.age, self.down)
+    }
+}
+
+impl Server {
+    fn rank(&self) -> (State, u64, bool) {
+        (self.state, self.seq, self.silent)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum News {
+    Node(Node),
+    Server(Server),
+    Seats(Seats),
+}
+
+/// Tells whether two know the same, in a few bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    pub entries: u64,
+    pub epoch: u64,
+    pub version: u64,
+}
+
+/// The ranks of all that one knows, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    pub nodes: BTreeMap<String, (u64, bool)>,
+    pub servers: BTreeMap<String, (State, u64, bool)>,
+    pub epoch: u64,
+}
+
+fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    for part in parts {
+        hasher.write(part);
+        hasher.write_u8(0xff);
+    }
+    hasher.finish()
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::{BudgetSettings, Effect, Health, Host, Outcome, Settings};
+use crate::{BudgetSettings, Effect, Health, Host, Outcome, Settings, VerticalSettings};
 
 /// Share of the SLO time after which a part is overdue. The design's start value.
 const THRESHOLD: f64 = 0.5;
@@ -74,6 +74,8 @@
 const COLD_CHANCE: f64 = 5.0;
 /// A wake this much later than asked shows that this gatherer was starved.
 const STARVED: Duration = Duration::from_millis(100);
+/// Calls of a part that reached no server and take nothing of its limit.
+const UNSENT_MOST: u32 = 3;
 /// Least wait before a query with an overdue or unplaced part, or the fleet, is looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// First wait before the list is asked for again; it doubles, up to the next share of the stated time.
@@ -95,6 +97,9 @@
     slo: Duration,
     late_utility: f64,
     effect: Effect,
+    most_calls: u32,
+    /// Whether an answer's utility is the square of the weight that is in.
+    squared: bool,
     /// Usual seconds of a part, in the first and the second step.
     usual: [f64; 2],
     heard: Duration,
@@ -143,6 +148,8 @@
     done: bool,
     spared: bool,
     calls: u32,
+    /// Of its calls, those that reached no server.
+    unsent: u32,
     out: u32,
     maybe_ran: bool,
     first_sent: Duration,
@@ -202,7 +209,6 @@
     numbers: BTreeMap<u64, u64>,
     cells: u32,
     span: u32,
-    most_calls: u32,
     second_copies: bool,
     call_off: bool,
     back_after: Option<Duration>,
@@ -241,16 +247,33 @@
     }
 }
 
+impl Vertical {
+    fn new(v: &VerticalSettings, most_calls: u32, squared: bool, now: Duration) -> Self {
+        let (need, floor, follow_up, slo) = (v.need, v.floor, v.follow_up, v.slo);
+        let (late_utility, effect) = (v.late_utility, v.effect);
+        let (heard, patience) = (now, slo.as_secs_f64());
+        let first = patience * USUAL_AT_FIRST;
+        let usual = [first, first * f64::from(follow_up.min(1))];
+        Vertical {
+            need,
+            floor,
+            follow_up,
+            slo,
+            late_utility,
+            effect,
+            most_calls,
+            squared,
+            usual,
+            heard,
+            patience,
+        }
+    }
+}
+
 impl<H: Host> Gatherer<H> {
     pub fn new(host: H, settings: &Settings, now: Duration) -> Self {
-        let verticals = settings.verticals.iter().map(|v| {
-            let (need, floor, follow_up, slo) = (v.need, v.floor, v.follow_up, v.slo);
-            let (late_utility, effect) = (v.late_utility, v.effect);
-            let (heard, patience) = (now, slo.as_secs_f64());
-            let first = patience * USUAL_AT_FIRST;
-            let usual = [first, first * f64::from(follow_up.min(1))];
-            Vertical { need, floor, follow_up, slo, late_utility, effect, usual, heard, patience }
-        });
+        let most_calls = settings.most_calls.max(1);
+        let verticals = settings.verticals.iter().map(|v| Vertical::new(v, most_calls, false, now));
         let gatherers = f64::from(settings.gatherers.max(1));
         let shortest = settings.verticals.iter().map(|v| v.slo).min().unwrap_or_default();
         let keep = KEEP.min(shortest.mul_f64(KEEP_SLO)).max(IMPAIRED_WINDOW);
@@ -279,7 +302,6 @@
             numbers: BTreeMap::new(),
             cells: settings.cells.max(1),
             span: settings.span,
-            most_calls: settings.most_calls.max(1),
             second_copies: settings.second_copies,
             call_off: settings.call_off,
             back_after: settings.back_after,
@@ -381,6 +403,23 @@
         }
     }
 
+    /// A vertical that came or changed after the start: what was learnt of it stays while its SLO time does.
+    /// Its parts may have so many leaf calls each; `squared`: a partial answer has the square of its weight.
+    pub fn vertical_is(&mut self, at: usize, settings: &VerticalSettings, most_calls: u32, squared: bool) {
+        let mut new = Vertical::new(settings, most_calls.max(1), squared, self.now);
+        match self.verticals.get_mut(at) {
+            Some(v) => {
+                if v.slo == new.slo {
+                    (new.usual, new.heard, new.patience) = (v.usual, v.heard, v.patience);
+                }
+                *v = new;
+            }
+            None => self.verticals.push(new),
+        }
+        let shortest = self.verticals.iter().map(|v| v.slo).min().unwrap_or_default();
+        self.keep = KEEP.min(shortest.mul_f64(KEEP_SLO)).max(IMPAIRED_WINDOW);
+    }
+
     /// So many gatherers are alive, this one among them; none where only the settings tell.
     pub fn fleet_is(&mut self, alive: Option<u32>) {
         self.even_share = alive.map_or(self.stated_share, |alive| 1.0 / f64::from(alive.max(1)));
@@ -445,13 +484,14 @@
         let Some(q) = self.queries.get_mut(&number) else { return };
         let Some(p) = q.parts.iter_mut().find(|p| p.id == part && p.out > 0) else { return };
         p.out -= 1;
+        p.unsent += u32::from(matches!(outcome, Outcome::Unreachable | Outcome::NeverSent));
         p.maybe_ran |= !matches!(outcome, Outcome::TurnedAway | Outcome::Unreachable | Outcome::NeverSent);
         if outcome == Outcome::Completed {
             p.done = true;
             let tried = std::mem::take(&mut p.tried);
             self.call_off_part(part, &tried);
         } else if over {
-            p.calls = self.most_calls;
+            p.calls = self.verticals[q.vertical].most_calls;
         }
         self.review(number);
     }
@@ -625,8 +665,12 @@
             let extras = self.extras.len() - self.extras.partition_point(|t| self.now - *t > b.span);
             extras as f64 + 1.0 <= b.least + b.share * taken as f64
         };
-        let room = p.calls == 0 || self.budget.as_ref().is_none_or(room);
-        !p.done && p.calls < self.most_calls && (out == 0 || self.second_copies) && apart && room
+        let shared = || self.host.may_call_again(p.shard);
+        let room = p.calls == 0 || (self.budget.as_ref().is_none_or(room) && shared());
+        // Where the limit is on servers that were sent it, one that could not be reached takes nothing of it.
+        let v = &self.verticals[q.vertical];
+        let unsent = if v.squared { p.unsent.min(UNSENT_MOST) } else { 0 };
+        !p.done && p.calls < v.most_calls + unsent && (out == 0 || self.second_copies) && apart && room
     }
 
     fn call_part(&mut self, number: u64, at: usize, id: &ServerId) {
@@ -807,7 +851,11 @@
             return self.answer(number, true);
         }
         let reach = weight(&|p| p.done || p.out > 0 || p.calls == 0 || self.may_call(q, p, p.out));
-        if self.now >= end || reach < q.need {
+        // Past the SLO time the whole is worth no more than a late answer.
+        let cut = (q.came + v.slo).saturating_sub(self.end_margin);
+        let cut = Some(cut).filter(|_| v.squared && got >= floor && got * got > v.late_utility);
+        let settles = cut.is_some_and(|cut| self.now >= cut);
+        if self.now >= end || reach < q.need || settles {
             if got >= floor {
                 return self.answer(number, false);
             }
@@ -824,7 +872,8 @@
         let q = &self.queries[&number];
         let (after, soon) = (self.overdue_after(q), self.now + LOOK_AGAIN);
         let next = q.parts.iter().filter_map(|p| self.overdue_at(p, after)).min().filter(|_| filled);
-        self.see_to(number, next.unwrap_or(if filled { end } else { soon }).max(soon).min(end));
+        let next = next.unwrap_or(if filled { end } else { soon }).max(soon);
+        self.see_to(number, cut.map_or(next, |cut| next.min(cut)).min(end));
     }
 
     fn see_to(&mut self, number: u64, next: Duration) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,10 @@
     fn wake(&mut self, token: u64, after: Duration);
     /// Asks for the list of shard servers and all later changes of it.
     fn watch_list(&mut self);
+    /// Whether a part of this shard may have a leaf call beyond its first, where all gatherers share a limit.
+    fn may_call_again(&self, _shard: u32) -> bool {
+        true
+    }
 }
 
 /// How a leaf call ended.
