Two stores on each disk, written in turn, every file synced: power loss takes nothing

Change: two sled stores, the whole state written to one of them in turn, then each of its files and folders synced; at start the higher number with a sound checksum holds.

--- a/crates/hive/src/disk.rs
+++ b/crates/hive/src/disk.rs
@@ -1,28 +1,43 @@
 //! A disk's content, kept by sled on a thread of its own: a disk that hangs holds up nothing else. What was
 //! handed over counts as kept only once a sync has covered it.
+//!
+//! There are two stores, written in turn, each with the whole state under a number that rises. What a loss of
+//! power tears is the one that was being written; the other one was synced before and is whole.
 
 use std::collections::VecDeque;
-use std::path::PathBuf;
+use std::fs::File;
+use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use ashvane_comb::{Filed, Kept};
 use parking_lot::{Condvar, Mutex};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-const KEPT: &[u8] = b"kept";
-const FILED: &[u8] = b"filed";
-/// What sled may hold of the disk in memory, in bytes: the whole state is smaller.
-const CACHE: u64 = 2 << 20;
+const STORES: [&str; 2] = ["cells-a", "cells-b"];
+const KEY: &[u8] = b"cell";
+/// What sled may hold of a store in memory, in bytes: the whole state is smaller.
+const CACHE: u64 = 1 << 20;
+/// The pieces that sled sets its file up in, in bytes: a few states fit into one.
+const SEGMENT: usize = 512 << 10;
 /// Pause before a disk that refused is tried again.
 const AGAIN: std::time::Duration = std::time::Duration::from_millis(200);
 
+/// All that is kept, as it stands in a store.
+#[derive(Clone, Default, Serialize, Deserialize)]
+struct Whole {
+    number: u64,
+    kept: Option<Kept>,
+    filed: Option<Filed>,
+}
+
 /// Content that has to be on disk; each later one replaces the one before.
 #[derive(Default)]
 struct Wanted {
-    kept: Option<Vec<u8>>,
-    filed: Option<Vec<u8>>,
+    kept: Option<Kept>,
+    filed: Option<Filed>,
     waiting: VecDeque<oneshot::Sender<()>>,
     closed: bool,
 }
@@ -38,18 +53,18 @@
 pub struct Found {
     pub kept: Option<Kept>,
     pub filed: Option<Filed>,
-    /// Why what is there cannot be used, where it cannot.
-    pub spoilt: Option<String>,
+    /// Why the stores that cannot be read cannot be.
+    pub spoilt: Vec<String>,
 }
 
-fn seal<T: Serialize>(value: &T) -> Vec<u8> {
-    let text = serde_json::to_vec(value).unwrap_or_default();
+fn seal(whole: &Whole) -> Vec<u8> {
+    let text = serde_json::to_vec(whole).unwrap_or_default();
     let mut bytes = crc32fast::hash(&text).to_le_bytes().to_vec();
     bytes.extend(text);
     bytes
 }
 
-fn unseal<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+fn unseal(bytes: &[u8]) -> Option<Whole> {
     let (sum, text) = bytes.split_first_chunk::<4>()?;
     if crc32fast::hash(text) != u32::from_le_bytes(*sum) {
         return None;
@@ -57,57 +72,114 @@
     serde_json::from_slice(text).ok()
 }
 
-fn open(dir: &PathBuf) -> sled::Result<sled::Db> {
-    let config = sled::Config::new().path(dir).cache_capacity(CACHE).flush_every_ms(None);
-    config.mode(sled::Mode::LowSpace).open()
+/// Runs what may panic on bytes that it did not expect.
+fn guarded<T>(run: impl FnOnce() -> Result<T, String>) -> Result<T, String> {
+    catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|_| Err("the store is not sound".to_owned()))
 }
 
-fn read<T: DeserializeOwned>(db: &sled::Db, key: &[u8]) -> Result<Option<T>, String> {
-    match db.get(key).map_err(|e| e.to_string())? {
-        None => Ok(None),
-        Some(bytes) => unseal(&bytes).map(Some).ok_or_else(|| "a checksum is wrong".to_owned()),
-    }
+/// One of the two stores; none while it has to be opened anew.
+struct Store {
+    dir: PathBuf,
+    db: Option<sled::Db>,
 }
 
-fn find(db: &sled::Db) -> Result<Found, String> {
-    Ok(Found { kept: read(db, KEPT)?, filed: read(db, FILED)?, spoilt: None })
+fn sync_all(dir: &Path) -> io::Result<()> {
+    for entry in std::fs::read_dir(dir)? {
+        let path = entry?.path();
+        if path.is_dir() { sync_all(&path)? } else { File::open(&path)?.sync_all()? }
+    }
+    File::open(dir)?.sync_all()
 }
 
-/// Opens the disk, or a new one beside it where what is there cannot be read: such a disk counts as wiped.
-fn open_or_renew(dir: &PathBuf) -> Result<(sled::Db, Found), String> {
-    let opened = open(dir).map_err(|e| e.to_string());
-    let spoilt = match opened.and_then(|db| find(&db).map(|found| (db, found))) {
-        Ok(opened) => return Ok(opened),
-        Err(why) => why,
-    };
-    std::fs::remove_dir_all(dir).map_err(|e| format!("{spoilt}; then {e}"))?;
-    let db = open(dir).map_err(|e| format!("{spoilt}; then {e}"))?;
-    Ok((db, Found { spoilt: Some(spoilt), ..Found::default() }))
+impl Store {
+    /// Opens it where it can be read; else it begins anew, empty.
+    fn open(dir: PathBuf) -> Result<(Store, Option<Whole>, Option<String>), String> {
+        let mut store = Store { dir, db: None };
+        let spoilt = match guarded(|| store.read()) {
+            Ok(whole) => return Ok((store, whole, None)),
+            Err(why) => why,
+        };
+        store.renew()?;
+        Ok((store, None, Some(spoilt)))
+    }
+
+    fn renew(&mut self) -> Result<(), String> {
+        self.let_go();
+        match std::fs::remove_dir_all(&self.dir) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e.to_string()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Drops the handle: one that has failed once may panic at its end too.
+    fn let_go(&mut self) {
+        let db = self.db.take();
+        let _ = guarded(|| {
+            drop(db);
+            Ok(())
+        });
+    }
+
+    fn db(&mut self) -> Result<&sled::Db, String> {
+        if self.db.is_none() {
+            std::fs::create_dir_all(&self.dir).map_err(|e| e.to_string())?;
+            let config = sled::Config::new().path(&self.dir).cache_capacity(CACHE);
+            let config = config.segment_size(SEGMENT).flush_every_ms(None);
+            self.db = Some(config.open().map_err(|e| e.to_string())?);
+        }
+        self.db.as_ref().ok_or_else(|| "not open".to_owned())
+    }
+
+    fn read(&mut self) -> Result<Option<Whole>, String> {
+        match self.db()?.get(KEY).map_err(|e| e.to_string())? {
+            None => Ok(None),
+            Some(bytes) => unseal(&bytes).map(Some).ok_or_else(|| "a checksum is wrong".to_owned()),
+        }
+    }
+
+    /// Writes the whole and syncs it. Sled's own flush leaves bytes to the system that a loss of power takes,
+    /// and does not sync what it renames, so every file and folder of the store is synced here.
+    fn write(&mut self, whole: &Whole) -> Result<(), String> {
+        let db = self.db()?;
+        db.insert(KEY, seal(whole)).map_err(|e| e.to_string())?;
+        db.flush().map_err(|e| e.to_string())?;
+        sync_all(&self.dir).map_err(|e| e.to_string())
+    }
 }
 
 impl Disk {
     /// Opens the disk in a folder and starts its thread. Waits until it is read.
     pub fn open(dir: &str) -> Result<(Disk, Found), String> {
-        let dir = PathBuf::from(dir).join("cells");
+        let dir = PathBuf::from(dir);
         std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
-        let (db, found) = open_or_renew(&dir)?;
+        let (mut stores, mut newest, mut spoilt) = (Vec::new(), Whole::default(), Vec::new());
+        for name in STORES {
+            let (store, whole, fault) = Store::open(dir.join(name))?;
+            stores.push(store);
+            spoilt.extend(fault);
+            if let Some(whole) = whole.filter(|w| w.number >= newest.number) {
+                newest = whole;
+            }
+        }
+        let found = Found { kept: newest.kept.clone(), filed: newest.filed.clone(), spoilt };
         let shared: Arc<(Mutex<Wanted>, Condvar)> = Arc::default();
         let disk = Disk { shared: shared.clone() };
         let thread = std::thread::Builder::new().name("disk".to_owned());
-        thread.spawn(move || keep(&shared, &dir, db)).map_err(|e| e.to_string())?;
+        thread.spawn(move || keep(&shared, &dir, stores, newest)).map_err(|e| e.to_string())?;
         Ok((disk, found))
     }
 
-    /// Keeps this content; the answer comes once it is safe, and never where the disk goes on refusing.
+    /// Keeps this content; the answer comes once it is safe, and never while the disk goes on refusing. With
+    /// none, it comes once all that was handed over before is safe.
     pub fn keep(&self, kept: Option<&Kept>, filed: Option<&Filed>) -> oneshot::Receiver<()> {
         let (done, safe) = oneshot::channel();
         let (wanted, woken) = &*self.shared;
         let mut wanted = wanted.lock();
         if let Some(kept) = kept {
-            wanted.kept = Some(seal(kept));
+            wanted.kept = Some(kept.clone());
         }
         if let Some(filed) = filed {
-            wanted.filed = Some(seal(filed));
+            wanted.filed = Some(filed.clone());
         }
         wanted.waiting.push_back(done);
         woken.notify_one();
@@ -121,17 +193,7 @@
     }
 }
 
-fn write(db: &sled::Db, kept: Option<&Vec<u8>>, filed: Option<&Vec<u8>>) -> sled::Result<()> {
-    for (key, value) in [(KEPT, kept), (FILED, filed)] {
-        if let Some(value) = value {
-            db.insert(key, value.as_slice())?;
-        }
-    }
-    db.flush().map(|_| ())
-}
-
-fn keep(shared: &(Mutex<Wanted>, Condvar), dir: &PathBuf, db: sled::Db) {
-    let mut db = Some(db);
+fn keep(shared: &(Mutex<Wanted>, Condvar), dir: &Path, mut stores: Vec<Store>, mut whole: Whole) {
     loop {
         let (kept, filed, waiting) = {
             let mut wanted = shared.0.lock();
@@ -143,17 +205,23 @@
             }
             (wanted.kept.take(), wanted.filed.take(), std::mem::take(&mut wanted.waiting))
         };
-        // A disk that refused once keeps refusing in the same handle: it is opened anew.
-        loop {
-            if db.is_none() {
-                db = open(dir).ok();
+        if kept.is_some() || filed.is_some() {
+            whole.number += 1;
+            whole.kept = kept.or(whole.kept);
+            whole.filed = filed.or(whole.filed);
+            let store = &mut stores[(whole.number % 2) as usize];
+            // The other store holds what is safe so far: this one is written until it holds the new state.
+            while let Err(_refused) = guarded(|| store.write(&whole)) {
+                store.let_go();
+                std::thread::sleep(AGAIN);
+                if guarded(|| store.read()).is_err() {
+                    let _ = store.renew();
+                }
             }
-            let written = db.as_ref().map(|db| write(db, kept.as_ref(), filed.as_ref()));
-            if matches!(written, Some(Ok(()))) {
-                break;
+            // The stores' own names in the folder.
+            while File::open(dir).and_then(|dir| dir.sync_all()).is_err() {
+                std::thread::sleep(AGAIN);
             }
-            db = None;
-            std::thread::sleep(AGAIN);
         }
         for done in waiting {
             let _ = done.send(());
--- a/crates/hive/src/program.rs
+++ b/crates/hive/src/program.rs
@@ -118,13 +118,13 @@
 /// The disk's cell as it was left, or an empty one. Only at the first start of the whole system has an empty
 /// disk a name that others know beforehand: later it may be one that has forgotten what it voted for.
 async fn cell(settings: &Settings, disk: &Disk, found: crate::disk::Found, log: &Logger) -> Cell {
-    if let Some(why) = &found.spoilt {
-        warn!(log, "the disk could not be read and counts as wiped"; "why" => why);
+    for why in &found.spoilt {
+        warn!(log, "a store on the disk could not be read and begins anew"; "why" => why);
     }
     if let Some(kept) = found.kept {
         return Cell::restored(kept, found.filed);
     }
-    let first = settings.bootstrap && found.spoilt.is_none();
+    let first = settings.bootstrap && found.spoilt.is_empty();
     let seats = if first { first_seats(settings) } else { Seats::default() };
     let control = settings.control.map(|c| c.to_string()).unwrap_or_default();
     let named = first && settings.seeds.contains(&control);
