News goes along one feed each, gaps by parts and only when digests differ twice; packed configurations

Change: a gatherer names one comb as its feed; combs tell each other; others find gaps by digests, twice in a row, and compare only the parts (32) that differ. Configurations travel and lie deflated.

--- a/crates/hive/src/control.rs
+++ b/crates/hive/src/control.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::hive::{Hive, Put};
+use crate::packed;
 use crate::reader::At;
 
 /// The longest configuration that is read, in bytes.
@@ -133,7 +134,10 @@
 
 async fn get_configuration(State(control): State<Arc<Control>>) -> Answer {
     match control.ask(Call::Get).await {
-        Some(Some(Some(text))) => say(StatusCode::OK, text.to_string()),
+        Some(Some(Some(packed))) => match packed::unpack(&packed) {
+            Some(text) => say(StatusCode::OK, text),
+            None => no_majority(),
+        },
         Some(Some(None)) => tell(StatusCode::NOT_FOUND, &json!({"faults": ["there is none yet"]})),
         _ => no_majority(),
     }
--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats, Watch};
-use ashvane_waggle::{Beat, Board, News, Node, partners};
+use ashvane_waggle::{Beat, Board, Digest, News, Node, partners};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::config::Config;
 use crate::links::{Line, Link, Links, Listener, dial};
+use crate::packed;
 use crate::plane::Plane;
 use crate::register::{Asks, Register};
 use crate::settings::Settings;
@@ -31,6 +32,8 @@
 const CONFIRMED: Duration = Duration::from_millis(800);
 /// Time after which a configuration that others have is asked for again.
 const WANT_AGAIN: Duration = Duration::from_millis(400);
+/// Digests that differ in a row, after which news has been missed.
+const DIFFERS: u32 = 2;
 
 struct Confirm {
     need: usize,
@@ -57,6 +60,10 @@
     lost: RefCell<BTreeMap<String, Option<Instant>>>,
     watch: RefCell<Watch>,
     wanted: Cell<Option<(u64, Instant)>>,
+    /// Another than the one that feeds this gatherer has named a newer configuration first.
+    foretold: Cell<bool>,
+    /// The link over which this gatherer is told what changes.
+    feed: Cell<Option<u64>>,
     compared: Cell<Instant>,
     /// Whether a process with a disk has told all that it knows.
     synced: Cell<bool>,
@@ -102,6 +109,8 @@
             lost,
             watch,
             wanted: Cell::new(None),
+            foretold: Cell::new(false),
+            feed: Cell::new(None),
             compared: Cell::new(started),
             synced: Cell::new(false),
             read: Cell::new(false),
@@ -153,7 +162,17 @@
         }
         self.follow(&news);
         let mut links = self.links.borrow_mut();
-        let numbers: Vec<u64> = links.peers().into_iter().filter(|n| Some(*n) != from).collect();
+        let is_comb = |l: &Link| l.peer.disk.is_some();
+        // Those with disks tell each other what is new to one of them, and the gatherers that they feed; a
+        // gatherer tells the one that feeds it. Whoever is missed finds out by the next digests.
+        let between_combs = from.is_some_and(|n| links.get(n).is_some_and(is_comb));
+        let told = |n: u64, l: &Link| match (self.is_comb(), is_comb(l)) {
+            (true, true) => !between_combs,
+            (true, false) => l.fed,
+            (false, _) => self.feed.get() == Some(n),
+        };
+        let numbers: Vec<u64> =
+            links.iter().filter(|(n, l)| Some(*n) != from && told(*n, l)).map(|(n, _)| n).collect();
         links.send_all(&numbers, &Line::News { number: 0, news });
     }
 
@@ -184,7 +203,11 @@
         if self.filed.borrow().as_ref().is_some_and(|held| *held >= filed) {
             return;
         }
-        let config = match Config::parse(filed.text.as_bytes()) {
+        let Some(text) = packed::unpack(&filed.text) else {
+            warn!(self.log, "a configuration that others hold cannot be unpacked"; "version" => filed.version);
+            return;
+        };
+        let config = match Config::parse(&text) {
             Ok(config) => Rc::new(config),
             Err(faults) => {
                 warn!(self.log, "a configuration that others hold cannot be read here";
@@ -208,10 +231,42 @@
         self.compare(&mut links, &peers);
     }
 
+    /// A neighbour's digest: where it differs twice in a row, news has been missed; before that it may be on its
+    /// way. The one with the lower name begins, or the one that has just come.
+    fn compared_with(&self, number: u64, digest: Digest) {
+        self.want(number, digest.version);
+        let (mine, buckets, name) = {
+            let board = self.board.borrow();
+            (board.digest(self.version()), board.buckets(), board.me().name.clone())
+        };
+        let mut links = self.links.borrow_mut();
+        let Some(link) = links.get_mut(number) else { return };
+        let comb = link.peer.disk.is_some();
+        if (mine.entries, mine.epoch) == (digest.entries, digest.epoch) {
+            link.differs = 0;
+            if comb {
+                self.synced.set(true);
+            }
+            return;
+        }
+        link.differs += 1;
+        let new_here = comb && !self.synced.get();
+        if new_here || (link.differs >= DIFFERS && name < link.peer.name) {
+            link.differs = 0;
+            links.send(number, &Line::Buckets(buckets));
+        }
+    }
+
     fn want(&self, from: u64, version: u64) {
         let now = Instant::now();
         let asked = self.wanted.get().is_some_and(|(v, at)| v >= version && at + WANT_AGAIN > now);
+        // The one that feeds this gatherer is near: it is waited for a moment where another is first.
+        let nearer = self.feed.get().is_some_and(|feed| feed != from);
+        if version > self.version() && !asked && nearer && !self.foretold.replace(true) {
+            return;
+        }
         if version > self.version() && !asked {
+            self.foretold.set(false);
             self.wanted.set(Some((version, now)));
             self.links.borrow_mut().send(from, &Line::Want { above: self.version() });
         }
@@ -306,10 +361,8 @@
             Ok(config) => config,
             Err(faults) => return Put::Invalid(faults),
         };
-        let (Some(register), Ok(text)) = (&self.register, std::str::from_utf8(text)) else {
-            return Put::Unclear;
-        };
-        let filed = Filed { version: config.version, text: text.into() };
+        let Some(register) = &self.register else { return Put::Unclear };
+        let filed = Filed { version: config.version, text: packed::pack(text).into() };
         let seats = self.board.borrow().seats().clone();
         if seats.seats.is_empty() {
             return Put::Unclear;
@@ -429,7 +482,7 @@
                 (self.board.borrow(), self.unreached.borrow(), self.links.borrow());
             let reached = |n: &Node| self.is_comb() || !unreached.contains_key(&n.address);
             let chosen = partners(board.me(), board.nodes(), self.settings.losses, reached);
-            let missing = chosen.into_iter().filter(|n| links.to(&n.name).is_none());
+            let missing = chosen.iter().filter(|n| links.to(&n.name).is_none());
             let mut wanted: Vec<String> = missing.map(|n| n.address.clone()).collect();
             let combs = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
             if combs == 0 || (self.is_comb() && board.seats().epoch == 0) {
@@ -443,6 +496,7 @@
             wanted
         };
         wanted.into_iter().for_each(|address| self.call(address));
+        self.look_at_feed();
         let lost: Vec<String> = {
             let links = self.links.borrow();
             let mut lost = self.lost.borrow_mut();
@@ -466,6 +520,29 @@
         }
     }
 
+    /// A gatherer has one that tells it what changes: the first of its partners with a disk that is linked.
+    fn look_at_feed(&self) {
+        if self.is_comb() {
+            return;
+        }
+        let board = self.board.borrow();
+        let mut links = self.links.borrow_mut();
+        let chosen = partners(board.me(), board.nodes(), self.settings.losses, |_| true);
+        let linked = chosen.iter().filter(|n| n.disk.is_some()).find_map(|n| links.to(&n.name));
+        let any = || links.iter().find(|(_, l)| l.peer.disk.is_some()).map(|(n, _)| n);
+        let feed = linked.or_else(any);
+        let before = self.feed.replace(feed);
+        if before != feed {
+            if let Some(before) = before {
+                links.send(before, &Line::Feed(false));
+            }
+            if let Some(feed) = feed {
+                links.send(feed, &Line::Feed(true));
+                links.send(feed, &Line::Buckets(board.buckets()));
+            }
+        }
+    }
+
     /// The addresses at which the machines of the settings file reach each other.
     pub fn seed_addresses(&self) -> Vec<String> {
         let ip = |seed: &String| seed.rsplit_once(':').map(|(ip, _)| ip.to_owned());
@@ -546,33 +623,35 @@
                 }
             }
             Line::Got { number: asked } => self.confirmed(asked, number),
-            Line::Digest(digest) => {
-                let mine = self.board.borrow().digest(self.version());
-                let mut comb = false;
+            Line::Digest(digest) => self.compared_with(number, digest),
+            Line::Feed(fed) => {
                 if let Some(link) = self.links.borrow_mut().get_mut(number) {
-                    link.digest = Some(digest);
-                    comb = link.peer.disk.is_some();
+                    link.fed = fed;
                 }
-                if (mine.entries, mine.epoch) != (digest.entries, digest.epoch) {
-                    let summary = self.board.borrow().summary();
+            }
+            Line::Buckets(buckets) => {
+                let summary = {
+                    let board = self.board.borrow();
+                    let parts = board.differing(&buckets);
+                    (parts != 0 || buckets.epoch != board.seats().epoch).then(|| board.summary(parts))
+                };
+                if let Some(summary) = summary {
                     self.links.borrow_mut().send(number, &Line::Summary(summary));
-                } else if comb {
-                    self.synced.set(true);
                 }
-                self.want(number, digest.version);
             }
             Line::Summary(summary) => {
                 let (news, behind, mine) = {
                     let board = self.board.borrow();
-                    (board.newer_than(&summary), board.is_behind(&summary), board.summary())
+                    let behind = board.is_behind(&summary);
+                    (board.newer_than(&summary), behind, behind.then(|| board.summary(summary.parts)))
                 };
                 let mut links = self.links.borrow_mut();
                 if !news.is_empty() {
                     links.send(number, &Line::News { number: 0, news });
                 }
-                if behind {
+                if let Some(mine) = mine {
                     links.send(number, &Line::Summary(mine));
-                } else if links.get_mut(number).is_some_and(|l| l.peer.disk.is_some()) {
+                } else if !behind && links.get_mut(number).is_some_and(|l| l.peer.disk.is_some()) {
                     self.synced.set(true);
                 }
             }
--- a/crates/hive/src/lib.rs
+++ b/crates/hive/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod hive;
 pub mod links;
 pub mod merge;
+pub mod packed;
 pub mod plane;
 pub mod pool;
 pub mod program;
--- a/crates/hive/src/links.rs
+++ b/crates/hive/src/links.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ashvane_comb::{Ask, Filed, Told};
-use ashvane_waggle::{Digest, News, Node, Summary};
+use ashvane_waggle::{Buckets, Digest, News, Node, Summary};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncWriteExt as _, BufReader};
 use tokio::net::TcpStream;
@@ -37,6 +37,10 @@
         number: u64,
     },
     Digest(Digest),
+    /// Where digests differ: those of each part.
+    Buckets(Buckets),
+    /// Whether this side is to be told what changes, as it changes.
+    Feed(bool),
     Summary(Summary),
     /// The configuration is wanted if its version is above this.
     Want {
@@ -61,8 +65,10 @@
     pub since: Instant,
     lines: mpsc::Sender<Rc<str>>,
     pub heard: Instant,
-    /// The digest that the other told last.
-    pub digest: Option<Digest>,
+    /// The other side is told what changes, as it changes.
+    pub fed: bool,
+    /// How many times in a row its digest differed.
+    pub differs: u32,
 }
 
 /// Counters of what was said.
@@ -88,6 +94,10 @@
         self.links.iter().map(|(number, link)| (*number, link))
     }
 
+    pub fn get(&self, number: u64) -> Option<&Link> {
+        self.links.get(&number)
+    }
+
     pub fn get_mut(&mut self, number: u64) -> Option<&mut Link> {
         self.links.get_mut(&number)
     }
@@ -175,7 +185,7 @@
     };
     let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
     let now = Instant::now();
-    let link = Link { peer, ours, since: now, lines, heard: now, digest: None };
+    let link = Link { peer, ours, since: now, lines, heard: now, fed: false, differs: 0 };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
     let reading = async {
--- a/crates/waggle/src/board.rs
+++ b/crates/waggle/src/board.rs
@@ -5,7 +5,7 @@
 
 use ashvane_comb::Seats;
 
-use crate::{Digest, News, Node, Server, State, Summary, hash};
+use crate::{BUCKETS, Buckets, Digest, News, Node, Server, State, Summary, bucket, hash};
 
 /// Beats missed in a row after which a server counts as silent: one or two are lost when its keeper changes.
 const MISSED: u32 = 5;
@@ -44,8 +44,8 @@
     ticked: Duration,
     /// Rises with each change, for those who follow it.
     changes: u64,
-    /// All entries' hashes in one.
-    entries: u64,
+    /// The entries' hashes, joined for each part.
+    entries: [u64; BUCKETS],
 }
 
 impl Board {
@@ -63,7 +63,7 @@
             beat_every,
             ticked: now,
             changes: 0,
-            entries: 0,
+            entries: [0; BUCKETS],
         };
         board.put_node(me, now);
         board
@@ -120,9 +120,10 @@
         } else {
             self.down.remove(&node.name);
         }
-        self.entries ^= Self::node_hash(&node);
+        let part = bucket(&node.name);
+        self.entries[part] ^= Self::node_hash(&node);
         if let Some(before) = self.nodes.insert(node.name.clone(), node) {
-            self.entries ^= Self::node_hash(&before);
+            self.entries[part] ^= Self::node_hash(&before);
         }
         self.changes += 1;
     }
@@ -138,10 +139,11 @@
         } else {
             self.addresses.insert(server.address.clone(), server.id.clone());
         }
-        self.entries ^= Self::server_hash(&server);
+        let part = bucket(&server.id);
+        self.entries[part] ^= Self::server_hash(&server);
         if let Some(before) = self.servers.insert(server.id.clone(), server) {
             debug_assert!(before.rank() <= self.servers[&before.id].rank(), "an entry's rank only rises");
-            self.entries ^= Self::server_hash(&before);
+            self.entries[part] ^= Self::server_hash(&before);
         }
         self.changes += 1;
     }
@@ -305,25 +307,42 @@
     }
 
     pub fn digest(&self, version: u64) -> Digest {
-        Digest { entries: self.entries, epoch: self.seats.epoch, version }
+        // Joined so that two parts that differ alike do not cancel out.
+        let entries = self.entries.iter().fold(0u64, |all, e| all.rotate_left(5) ^ e);
+        Digest { entries, epoch: self.seats.epoch, version }
     }
 
-    pub fn summary(&self) -> Summary {
-        let servers = self.servers.iter().filter(|(_, s)| s.state < State::Gone);
+    pub fn buckets(&self) -> Buckets {
+        Buckets { entries: self.entries.to_vec(), epoch: self.seats.epoch }
+    }
+
+    /// The parts in which this one and another differ, a bit for each; all where it can't be told.
+    pub fn differing(&self, other: &Buckets) -> u32 {
+        let differs = |n: &usize| other.entries.get(*n) != Some(&self.entries[*n]);
+        (0..BUCKETS).filter(differs).fold(0, |parts, n| parts | 1 << n)
+    }
+
+    pub fn summary(&self, parts: u32) -> Summary {
+        let within = |name: &str| parts & (1 << bucket(name)) != 0;
+        let servers = self.servers.iter().filter(|(id, s)| s.state < State::Gone && within(id));
+        let nodes = self.nodes.iter().filter(|(name, _)| within(name));
         Summary {
-            nodes: self.nodes.iter().map(|(name, n)| (name.clone(), n.rank())).collect(),
+            parts,
+            nodes: nodes.map(|(name, n)| (name.clone(), n.rank())).collect(),
             servers: servers.map(|(id, s)| (id.clone(), s.rank())).collect(),
             epoch: self.seats.epoch,
         }
     }
 
-    /// What is newer here than what another knows.
+    /// What is newer here than what another knows, in the parts that it speaks of.
     pub fn newer_than(&self, summary: &Summary) -> Vec<News> {
-        let nodes = self.nodes.values().filter(|n| summary.nodes.get(&n.name).is_none_or(|r| *r < n.rank()));
+        let within = |name: &str| summary.parts & (1 << bucket(name)) != 0;
+        let newer = |n: &&Node| within(&n.name) && summary.nodes.get(&n.name).is_none_or(|r| *r < n.rank());
+        let nodes = self.nodes.values().filter(newer);
         let servers = self.servers.values().filter(|s| match summary.servers.get(&s.id) {
             Some(rank) => *rank < s.rank(),
             // It may have forgotten what ended.
-            None => s.state < State::Gone,
+            None => s.state < State::Gone && within(&s.id),
         });
         let seats = (summary.epoch < self.seats.epoch).then(|| News::Seats(self.seats.clone()));
         let nodes = nodes.cloned().map(News::Node);
--- a/crates/waggle/src/lib.rs
+++ b/crates/waggle/src/lib.rs
@@ -92,14 +92,30 @@
     pub version: u64,
 }
 
-/// The ranks of all that one knows, by name.
+/// Entries fall into so many parts by their names, so that only those that differ are gone through.
+pub const BUCKETS: usize = 32;
+
+/// A digest of each part.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Buckets {
+    pub entries: Vec<u64>,
+    pub epoch: u64,
+}
+
+/// The ranks of all that one knows in some parts, by name.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
+    /// A bit for each part.
+    pub parts: u32,
     pub nodes: BTreeMap<String, (u64, bool)>,
     pub servers: BTreeMap<String, (State, u64, bool)>,
     pub epoch: u64,
 }
 
+fn bucket(name: &str) -> usize {
+    (hash(&[name.as_bytes()]) % BUCKETS as u64) as usize
+}
+
 fn hash(parts: &[&[u8]]) -> u64 {
     let mut hasher = SipHasher13::new();
     for part in parts {
--- a/crates/waggle/tests/news.rs
+++ b/crates/waggle/tests/news.rs
@@ -78,7 +78,8 @@
     /// A gap is mended by ranks, as between two neighbours.
     fn compare(&mut self, a: usize, b: usize) {
         for (from, to) in [(a, b), (b, a)] {
-            let news = self.boards[from].newer_than(&self.boards[to].summary());
+            let parts = self.boards[from].differing(&self.boards[to].buckets());
+            let news = self.boards[from].newer_than(&self.boards[to].summary(parts));
             for news in news {
                 self.boards[to].learn(news, self.now);
             }
