--- a/crates/hive/src/disk.rs
+++ b/crates/hive/src/disk.rs
@@ -152,6 +152,9 @@
     pub fn open(dir: &str) -> Result<(Disk, Found), String> {
         let dir = PathBuf::from(dir);
         std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
+        // Two processes on one disk would take each other's stores for spoilt.
+        let lock = File::create(dir.join("lock")).map_err(|e| e.to_string())?;
+        lock.try_lock().map_err(|e| format!("another process has this disk: {e}"))?;
         let (mut stores, mut newest, mut spoilt) = (Vec::new(), Whole::default(), Vec::new());
         for name in STORES {
             let (store, whole, fault) = Store::open(dir.join(name))?;
@@ -165,7 +168,11 @@
         let shared: Arc<(Mutex<Wanted>, Condvar)> = Arc::default();
         let disk = Disk { shared: shared.clone() };
         let thread = std::thread::Builder::new().name("disk".to_owned());
-        thread.spawn(move || keep(&shared, &dir, stores, newest)).map_err(|e| e.to_string())?;
+        let kept = move || {
+            keep(&shared, &dir, stores, newest);
+            drop(lock);
+        };
+        thread.spawn(kept).map_err(|e| e.to_string())?;
         Ok((disk, found))
     }
 
--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -91,6 +91,8 @@
         if let Some(register) = &register {
             board.learn(News::Seats(register.seats()), Duration::ZERO);
         }
+        // One with a disk knows what it knows: gatherers compare with it, not it with them.
+        let alone = register.is_some();
         let (filed, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
         let hive = Hive {
             settings,
@@ -112,7 +114,7 @@
             foretold: Cell::new(false),
             feed: Cell::new(None),
             compared: Cell::new(started),
-            synced: Cell::new(false),
+            synced: Cell::new(alone),
             read: Cell::new(false),
             reading: Cell::new(false),
             changing: Cell::new(false),
--- a/crates/hive/src/program.rs
+++ b/crates/hive/src/program.rs
@@ -134,7 +134,8 @@
     cell
 }
 
-async fn serve(role: Role, settings: Settings, log: Logger) -> Result<(), StartError> {
+/// One process, from its listeners to its end. Has to run in a set of local tasks.
+pub async fn serve(role: Role, settings: Settings, log: Logger) -> Result<(), StartError> {
     let inside = listen_inside(&settings)?;
     let address = inside.local_addr().map_err(|why| StartError::Runtime { why })?;
     let life = fastrand::u64(..);
--- /dev/null
+++ b/crates/hive/tests/common/mod.rs
@@ -0,0 +1,214 @@
+//! A whole system in one process on loopback, and servers of our own beside it that answer as they are told.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ashvane_hive::program::{Role, serve};
+use ashvane_hive::settings::Settings;
+use slog::{Discard, Logger, o};
+use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local, yield_now};
+
+/// Tries until something that must come about has: each is a call over a socket.
+const TRIES: usize = 20_000;
+
+/// A request or an answer as it stood on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+}
+
+/// Reads one message; none where the connection ends before it is whole.
+pub async fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).await.ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end().to_owned();
+        if line.is_empty() {
+            break;
+        }
+        lines.push(line);
+    }
+    let headers: BTreeMap<String, String> = lines[1..]
+        .iter()
+        .filter_map(|l| l.split_once(':'))
+        .map(|(k, v)| (k.to_ascii_lowercase(), v.trim().to_owned()))
+        .collect();
+    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(Message { first: lines.swap_remove(0), headers, body })
+}
+
+/// What a server does with a request: the bytes that it sends, and whether it then closes.
+pub type Script = Box<dyn FnMut(&Message) -> (Vec<u8>, bool)>;
+
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub got: Rc<RefCell<Vec<Message>>>,
+}
+
+/// A whole answer.
+pub fn answer(request: &Message, status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let id = request.header("attempt-id");
+    let head =
+        format!("HTTP/1.1 {status}\r\nAttempt-Id: {id}\r\nContent-Length: {}\r\n{headers}\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
+pub fn sealed(request: &Message, seal: &str, body: &[u8]) -> (Vec<u8>, bool) {
+    (answer(request, "200 OK", &format!("Server-Seal: {seal}\r\n"), body), false)
+}
+
+pub async fn server(id: &str, service: &str, script: Script) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let got: Rc<RefCell<Vec<Message>>> = Rc::default();
+    let (seen, script) = (got.clone(), Rc::new(RefCell::new(script)));
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (seen, script) = (seen.clone(), script.clone());
+            spawn_local(async move {
+                let mut stream = BufReader::new(stream);
+                while let Some(request) = read(&mut stream).await {
+                    let (bytes, close) = script.borrow_mut()(&request);
+                    seen.borrow_mut().push(request);
+                    if stream.write_all(&bytes).await.is_err() || close {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Server { id: id.to_owned(), service: service.to_owned(), address, got }
+}
+
+pub struct Hall {
+    pub front: SocketAddr,
+    pub control: SocketAddr,
+    pub readiness: SocketAddr,
+}
+
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// One exchange on a connection of its own.
+pub async fn ask(to: SocketAddr, request: &str) -> Option<Message> {
+    let mut stream = BufReader::new(TcpStream::connect(to).await.ok()?);
+    stream.write_all(request.as_bytes()).await.ok()?;
+    read(&mut stream).await
+}
+
+pub fn put(path: &str, body: &str) -> String {
+    format!("PUT {path} HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+impl Hall {
+    /// A system of one machine, which starts on an empty disk.
+    pub fn start(name: &str) -> Hall {
+        let dir = format!("{}/{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        let _ = std::fs::remove_dir_all(&dir);
+        let (front, readiness, control, inside) = (free(), free(), free(), free());
+        let port = inside.port();
+        let text = format!(
+            r#"
+node = "n1"
+ip = "127.0.0.1"
+zone = "a"
+internal-ports = [{port}, {port}]
+seed-nodes = ["{control}"]
+bootstrap = true
+data-dir = "{dir}"
+beat-interval-ms = 60000
+[zones]
+a = "r"
+[listen]
+front = "{front}"
+readiness = "{readiness}"
+control = "{control}"
+"#
+        );
+        let settings = Settings::parse(&text, name).expect("settings");
+        spawn_local(async move {
+            let log = Logger::root(Discard, o!());
+            serve(Role::Comb, settings, log).await.expect("it serves");
+        });
+        Hall { front, control, readiness }
+    }
+
+    /// Tries until the answer is this one.
+    pub async fn until(&self, to: SocketAddr, request: &str, status: u16) -> Message {
+        for _ in 0..TRIES {
+            if let Some(answer) = ask(to, request).await
+                && answer.status() == status
+            {
+                return answer;
+            }
+            yield_now().await;
+        }
+        panic!("never {status}: {request}");
+    }
+
+    pub async fn configure(&self, version: u64, routes: &str, services: &[&str]) {
+        let services: Vec<String> =
+            services.iter().map(|s| format!(r#"{{"name":"{s}","max-conns":64}}"#)).collect();
+        let body =
+            format!(r#"{{"version":{version},"routes":[{routes}],"services":[{}]}}"#, services.join(","));
+        self.until(self.control, &put("/api/configuration", &body), 200).await;
+    }
+
+    pub async fn beat(&self, server: &Server, state: &str, seq: u64) {
+        let body = format!(
+            r#"{{"service":"{}","address":"{}","zone":"a","capacity":4,"state":"{state}","call-seq":{seq}}}"#,
+            server.service, server.address
+        );
+        self.until(self.control, &put(&format!("/api/instances/{}", server.id), &body), 200).await;
+    }
+
+    /// Until the front takes clients.
+    pub async fn ready(&self) {
+        self.until(self.readiness, "GET /api/readiness HTTP/1.1\r\nHost: r\r\n\r\n", 200).await;
+    }
+
+    pub async fn get(&self, path: &str, id: &str) -> Message {
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: 2000\r\n\r\n"
+        );
+        ask(self.front, &request).await.expect("a whole answer")
+    }
+}
+
+pub fn route(name: &str, kind: &str, target: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","host":"h.example","path-prefix":"/{name}/","kind":"{kind}","deadline-ms":2000,
+            "target-ms":400,{target},"max-tries":2}}"#
+    )
+}
+
+/// Runs a test's tasks on one thread.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
