--- a/crates/hive/src/control.rs
+++ b/crates/hive/src/control.rs
@@ -34,6 +34,7 @@
     Left(String, oneshot::Sender<bool>),
     Put(Bytes, oneshot::Sender<Put>),
     Get(oneshot::Sender<Option<Option<Arc<str>>>>),
+    State(oneshot::Sender<Value>),
 }
 
 struct Control {
@@ -73,6 +74,7 @@
         Router::new()
             .route("/api/instances/{id}", put(put_instance).delete(delete_instance))
             .route("/api/configuration", put(put_configuration).get(get_configuration))
+            .route("/api/state", get(get_state))
             .route("/api/readiness", get(readiness))
             .layer(DefaultBodyLimit::max(BODY_MOST))
             .with_state(Arc::new(self))
@@ -143,6 +145,10 @@
     }
 }
 
+async fn get_state(State(control): State<Arc<Control>>) -> Answer {
+    tell(StatusCode::OK, &control.ask(Call::State).await.unwrap_or_default())
+}
+
 async fn readiness() -> Answer {
     say(StatusCode::OK, "{}")
 }
@@ -151,6 +157,7 @@
     match call {
         Call::Beat(beat, reply) => drop(reply.send(hive.beat(beat).await)),
         Call::Left(id, reply) => drop(reply.send(hive.left(&id).await)),
+        Call::State(reply) => drop(reply.send(hive.state())),
         Call::Get(reply) => {
             let newest = hive.newest().await;
             let _ = reply.send(newest.map(|filed| filed.map(|f| f.text)));
--- a/crates/hive/src/front.rs
+++ b/crates/hive/src/front.rs
@@ -208,11 +208,12 @@
         let hive = hive.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let ready = hive.is_ready();
+                let hive = hive.clone();
                 async move {
-                    Ok::<_, Infallible>(match (request.uri().path(), ready) {
-                        ("/api/readiness", true) => say(StatusCode::OK, "ready\n"),
-                        ("/api/readiness", false) => say(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+                    Ok::<_, Infallible>(match request.uri().path() {
+                        "/api/readiness" if hive.is_ready() => say(StatusCode::OK, "ready\n"),
+                        "/api/readiness" => say(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+                        "/api/state" => Response::new(Full::new(hive.state().to_string().into())),
                         _ => say(StatusCode::NOT_FOUND, "no such call\n"),
                     })
                 }
--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -7,6 +7,7 @@
 
 use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats, Watch};
 use ashvane_waggle::{Beat, Board, Digest, News, Node, partners};
+use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -50,6 +51,7 @@
     /// The newest configuration that a majority of disks is known to hold.
     filed: RefCell<Option<Filed>>,
     config: RefCell<Option<Rc<Config>>>,
+    in_force_since: Cell<Option<Instant>>,
     register: Option<Rc<Register>>,
     plane: Option<Rc<Plane>>,
     confirms: RefCell<BTreeMap<u64, Confirm>>,
@@ -102,6 +104,7 @@
             links,
             filed,
             config,
+            in_force_since: Cell::new(None),
             register: register.map(Rc::new),
             plane,
             confirms,
@@ -218,6 +221,7 @@
             }
         };
         info!(self.log, "configuration in force"; "version" => filed.version);
+        self.in_force_since.set(Some(Instant::now()));
         *self.config.borrow_mut() = Some(config.clone());
         *self.filed.borrow_mut() = Some(filed.clone());
         if let Some(plane) = &self.plane {
@@ -568,6 +572,56 @@
         }
     }
 
+    /// All that this process knows, for operators.
+    pub fn state(&self) -> Value {
+        let (board, links) = (self.board.borrow(), self.links.borrow());
+        let linked = |name: &str| links.to(name).is_some();
+        let feed = self.feed.get().and_then(|n| links.get(n)).map(|l| l.peer.name.clone());
+        let nodes: Vec<Value> = board
+            .nodes()
+            .map(|n| {
+                let state = match (n.name == board.me().name, n.down, linked(&n.name)) {
+                    (true, ..) => "this one",
+                    (_, true, _) => "down",
+                    (_, _, true) => "linked",
+                    _ => "known",
+                };
+                json!({"node": n.name, "state": state, "age": n.age, "zone": n.zone, "address": n.address,
+                    "control": n.control, "disk": n.disk, "front": n.front})
+            })
+            .collect();
+        let servers: Vec<Value> = board
+            .servers()
+            .filter(|s| s.state < ashvane_waggle::State::Gone)
+            .map(|s| {
+                json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.silent,
+                    "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
+            })
+            .collect();
+        let seats: Vec<Value> =
+            board.seats().seats.iter().map(|s| json!({"disk": s.disk, "address": s.address})).collect();
+        let since = self.in_force_since.get().map(|at| at.elapsed().as_secs());
+        json!({
+            "process": {"node": board.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
+                "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
+            "configuration": {"version": self.version(), "in force for s": since,
+                "on this disk": self.register.as_ref().and_then(|r| r.filed()).map(|f| f.version)},
+            "duties": [
+                {"duty": "set of disks", "epoch": board.seats().epoch, "held here": self.has_seats_duty()},
+                {"duty": "servers of lost combs", "epoch": null, "held here": self.is_comb() && self.is_first()},
+            ],
+            "disks": seats, "nodes": nodes, "servers": servers,
+            "allotments": self.plane.as_ref().map_or(Value::Array(Vec::new()), |plane| plane.allotments()),
+        })
+    }
+
+    fn has_seats_duty(&self) -> bool {
+        let board = self.board.borrow();
+        let live = |disk: &str| board.nodes().any(|n| n.disk.as_deref() == Some(disk) && self.lives(n));
+        let first = board.seats().seats.iter().find(|s| live(&s.disk));
+        first.is_some_and(|s| Some(&s.disk) == board.me().disk.as_ref())
+    }
+
     /// A line of counters.
     pub fn count(&self) {
         let (board, links) = (self.board.borrow(), self.links.borrow());
--- a/crates/hive/src/lib.rs
+++ b/crates/hive/src/lib.rs
@@ -1,6 +1,7 @@
 //! The whole search front as one program. [`program`] starts a role; [`hive`] is what each process knows and
 //! does with others; [`plane`] carries queries by the decisions of the `ashvane` module.
 
+pub mod client;
 pub mod config;
 pub mod control;
 pub mod disk;
--- a/crates/hive/src/main.rs
+++ b/crates/hive/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use ashvane_hive::client;
 use ashvane_hive::program::{self, Role};
 use ashvane_hive::settings::Settings;
 use ashvane_hive::verdict::StartError;
@@ -12,16 +13,36 @@
 
     ashvane-hive forager     take clients' requests and gather their answers
     ashvane-hive comb        keep the configuration, hear servers and operators
-    ashvane-hive check FILE  ok, or all faults of a settings file or a configuration
+    ashvane-hive check FILE  ok, or all faults of a settings file or a configuration (.json)
+    ashvane-hive get         the configuration that a majority of the disks holds
+    ashvane-hive put FILE    send a configuration, checked here first
+    ashvane-hive show [all|process|configuration|duties|disks|nodes|servers|allotments]
     ashvane-hive version
 
-The settings file is named by ASHVANE_CONFIG or --settings.";
+The settings file is named by ASHVANE_CONFIG or --settings. get, put and show call the control address that
+--at names (or a forager's readiness address, for show); it may be given several times: the next one is called
+where one does not answer.";
 
 fn settings_file(stated: Option<String>) -> Result<String, StartError> {
     let named = stated.or_else(|| std::env::var("ASHVANE_CONFIG").ok());
     named.ok_or_else(|| StartError::Usage { why: "ASHVANE_CONFIG names no settings file".to_owned() })
 }
 
+fn addresses(matches: &getopts::Matches) -> Result<Vec<String>, StartError> {
+    let at = matches.opt_strs("at");
+    if at.is_empty() {
+        return Err(StartError::Usage { why: "--at names no address".to_owned() });
+    }
+    Ok(at)
+}
+
+fn print(text: String) -> Result<(), StartError> {
+    use std::io::Write as _;
+    let written =
+        std::io::stdout().write_all(text.trim_end().as_bytes()).and_then(|()| writeln!(std::io::stdout()));
+    written.map_err(|why| StartError::Runtime { why })
+}
+
 fn check(file: Option<&String>) -> Result<(), StartError> {
     let file = file.ok_or_else(|| StartError::Usage { why: "check needs a file".to_owned() })?;
     if !file.ends_with(".json") {
@@ -38,6 +59,8 @@
     let mut options = Options::new();
     options.optopt("", "settings", "the settings file", "FILE");
     options.optopt("", "log", "critical, error, warning, info, debug or trace", "LEVEL");
+    options.optmulti("", "at", "an address to call", "ADDRESS");
+    options.optflag("", "json", "show as JSON");
     options.optflag("h", "help", "these words");
     let usage = |why: String| StartError::Usage { why };
     let matches = options.parse(std::env::args().skip(1)).map_err(|e| usage(e.to_string()))?;
@@ -47,6 +70,16 @@
         Some("forager") => Role::Forager,
         Some("comb") => Role::Comb,
         Some("check") => return check(matches.free.get(1)),
+        Some("get") => return print(client::get(&addresses(&matches)?)?),
+        Some("put") => {
+            let file = matches.free.get(1).ok_or_else(|| usage("put needs a file".to_owned()))?;
+            let text = std::fs::read(file).map_err(|e| usage(format!("{file}: {e}")))?;
+            return print(client::put(&addresses(&matches)?, text)?);
+        }
+        Some("show") => {
+            let what = matches.free.get(1).map_or("all", String::as_str);
+            return print(client::show(&addresses(&matches)?, what, matches.opt_present("json"))?);
+        }
         Some("version") => {
             println!("ashvane-hive {}", env!("CARGO_PKG_VERSION"));
             return Ok(());
--- a/crates/hive/src/plane.rs
+++ b/crates/hive/src/plane.rs
@@ -11,6 +11,7 @@
 use ashvane_waggle::{Board, News, Server, State};
 use axum::http::HeaderValue;
 use bytes::Bytes;
+use serde_json::{Value, json};
 use slog::{Logger, info};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -548,6 +549,20 @@
         let _ = q.reply.send(reply);
     }
 
+    /// This gatherer's part of what all share, by service.
+    pub fn allotments(&self) -> Value {
+        let shares = self.shares.borrow();
+        let services: BTreeMap<u32, Rc<str>> =
+            self.cells.borrow().iter().map(|(name, cell)| (*cell, name.clone())).collect();
+        let rows = shares.tries.iter().map(|(cell, tries)| {
+            let (requests, again) = tries.used();
+            let service = services.get(cell).map_or("", |s| s);
+            json!({"service": service, "requests": requests, "again": again,
+                "among gatherers": shares.sharers.count(), "connections a server": self.most(service)})
+        });
+        rows.collect()
+    }
+
     pub fn count(&self) {
         let c = &self.counters;
         let p = &self.pool.counters;
--- a/crates/hive/src/reader.rs
+++ b/crates/hive/src/reader.rs
@@ -62,7 +62,7 @@
     /// A text that is not empty.
     pub fn name(&self) -> String {
         let text = self.text();
-        if text.is_empty() && self.is_there() {
+        if text.is_empty() && self.value.is_some_and(Value::is_string) {
             self.fault("a name is needed here");
         }
         text.to_owned()
--- a/crates/hive/tests/common/mod.rs
+++ b/crates/hive/tests/common/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use ashvane_hive::program::{Role, serve};
 use ashvane_hive::settings::Settings;
@@ -109,9 +110,10 @@
     pub readiness: SocketAddr,
 }
 
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+/// An address of its own for each system, so that none takes another's ports.
+fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    format!("127.{}.{}.1", 1 + std::process::id() % 250, NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
 /// One exchange on a connection of its own.
@@ -130,12 +132,13 @@
     pub fn start(name: &str) -> Hall {
         let dir = format!("{}/{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         let _ = std::fs::remove_dir_all(&dir);
-        let (front, readiness, control, inside) = (free(), free(), free(), free());
-        let port = inside.port();
+        let ip = own_address();
+        let at = |port: u16| -> SocketAddr { format!("{ip}:{port}").parse().expect("an address") };
+        let (front, readiness, control, port) = (at(8043), at(8041), at(8047), 7080);
         let text = format!(
             r#"
 node = "n1"
-ip = "127.0.0.1"
+ip = "{ip}"
 zone = "a"
 internal-ports = [{port}, {port}]
 seed-nodes = ["{control}"]
--- a/crates/hive/tests/serving.rs
+++ b/crates/hive/tests/serving.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use ashvane_hive::client;
 use common::{Hall, Message, answer, ask, route, run, sealed, server};
 
 /// A system with one route to one service, whose servers do this.
@@ -184,6 +185,30 @@
     });
 }
 
+/// Guards against a client that cannot be run, sends what is invalid, or gives up at the first silent address.
+#[test]
+fn the_operators_client_reads_sends_and_shows() {
+    run(async {
+        let hall = Hall::start("client");
+        hall.configure(2, &route("r", "idempotent", r#""service":"s""#), &["s"]).await;
+        let at = vec!["127.0.0.1:9".to_owned(), hall.control.to_string()];
+        let calls = tokio::task::spawn_blocking(move || {
+            let before = client::get(&at).expect("the configuration");
+            let newer = before.replace(r#""version":2"#, r#""version":6"#);
+            let sent = client::put(&at, newer.clone().into_bytes()).expect("it is taken");
+            let refused =
+                client::put(&at, before.replace(r#""service":"s""#, r#""service":"t""#).into_bytes());
+            let older = client::put(&at, before.into_bytes()).expect("it is acknowledged");
+            let shown = client::show(&at, "configuration", false).expect("shown");
+            let all = client::show(&at, "all", true).expect("shown");
+            (sent, refused.is_err(), older, shown, all, client::get(&at).expect("the newest") == newer)
+        });
+        let (sent, refused, older, shown, all, same) = calls.await.expect("no panic");
+        assert!(sent.contains("version 6 is held") && refused && older.contains("nothing changed") && same);
+        assert!(shown.contains("version  6") && all.contains(r#""duty":"set of disks""#), "{shown} {all}");
+    });
+}
+
 fn record(first: u8) -> Vec<u8> {
     let mut record = vec![0; 16];
     record[0] = first;
