A shard that is down no longer turns queries away; what can still come is waited for

And a part that had failed for good answered with whatever was in, though others were on their way. Change: where a partial answer is worth its part, admission asks for the coverage only; a query short of a shard is answered when nothing more can come, or at the target time.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -473,8 +473,10 @@
         let cut = (q.came + v.slo).saturating_sub(self.end_margin);
         let cut = Some(cut).filter(|_| v.squared && got >= floor && got * got > v.late_utility);
         let settles = cut.is_some_and(|cut| self.now >= cut);
+        // With more on its way each part counts: what can still come is waited for.
+        let coming = v.squared && got < weight(&|p| p.done || p.out > 0 || p.calls == 0) && self.now < end;
         if self.now >= end || reach < q.need || settles {
-            if got >= floor {
+            if got >= floor && (settles || !coming) {
                 return self.answer(number, false);
             }
             if self.now >= end || reach < floor {
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -26,8 +26,10 @@
         let q = &self.queries[&number];
         let v = &self.verticals[q.vertical];
         let (mut weight, mut times) = (0.0, Vec::new());
+        // Where a partial answer is worth its part, one bad shard must not turn the query away.
+        let need = if v.squared { v.floor } else { v.need };
         for (w, _, time, _) in self.waiting(q) {
-            if weight < v.need - WEIGHT_SLACK {
+            if weight < need - WEIGHT_SLACK {
                 weight += w;
                 times.push(time);
             }
