Servers are kept on disk as a hint; a quest asks at once whoever can be asked again; clients asked back later

Clients asked back after 0.3 s were refused again. Change: servers known are written beside the state every 2 s where they change; a new link to a comb asks again at once; a process called in vain is called again after 200 ms; without a configuration clients are asked back after 0.7 s.

--- a/crates/hive/src/disk.rs
+++ b/crates/hive/src/disk.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use ashvane_comb::{Filed, Kept};
+use ashvane_waggle::Server;
 use parking_lot::{Condvar, Mutex};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -31,6 +32,9 @@
     number: u64,
     kept: Option<Kept>,
     filed: Option<Filed>,
+    /// Servers that were known. A hint: nothing is acknowledged on it, and it may be old.
+    #[serde(default)]
+    servers: Arc<Vec<Server>>,
 }
 
 /// Content that has to be on disk; each later one replaces the one before.
@@ -38,6 +42,7 @@
 struct Wanted {
     kept: Option<Kept>,
     filed: Option<Filed>,
+    servers: Option<Arc<Vec<Server>>>,
     waiting: VecDeque<oneshot::Sender<()>>,
     closed: bool,
 }
@@ -53,6 +58,7 @@
 pub struct Found {
     pub kept: Option<Kept>,
     pub filed: Option<Filed>,
+    pub servers: Vec<Server>,
     /// Why the stores that cannot be read cannot be.
     pub spoilt: Vec<String>,
 }
@@ -164,7 +170,8 @@
                 newest = whole;
             }
         }
-        let found = Found { kept: newest.kept.clone(), filed: newest.filed.clone(), spoilt };
+        let (kept, filed, servers) = (newest.kept.clone(), newest.filed.clone(), newest.servers.to_vec());
+        let found = Found { kept, filed, servers, spoilt };
         let shared: Arc<(Mutex<Wanted>, Condvar)> = Arc::default();
         let disk = Disk { shared: shared.clone() };
         let thread = std::thread::Builder::new().name("disk".to_owned());
@@ -193,6 +200,12 @@
         safe
     }
 
+    /// Keeps the servers that are known, when there is time.
+    pub fn hint(&self, servers: Vec<Server>) {
+        self.shared.0.lock().servers = Some(Arc::new(servers));
+        self.shared.1.notify_one();
+    }
+
     /// Ends the thread once what it was handed is safe.
     pub fn close(&self) {
         self.shared.0.lock().closed = true;
@@ -202,20 +215,22 @@
 
 fn keep(shared: &(Mutex<Wanted>, Condvar), dir: &Path, mut stores: Vec<Store>, mut whole: Whole) {
     loop {
-        let (kept, filed, waiting) = {
+        let (kept, filed, servers, waiting) = {
             let mut wanted = shared.0.lock();
-            while wanted.waiting.is_empty() && !wanted.closed {
+            while wanted.waiting.is_empty() && wanted.servers.is_none() && !wanted.closed {
                 shared.1.wait(&mut wanted);
             }
-            if wanted.waiting.is_empty() {
+            if wanted.waiting.is_empty() && wanted.servers.is_none() {
                 return;
             }
-            (wanted.kept.take(), wanted.filed.take(), std::mem::take(&mut wanted.waiting))
+            let waiting = std::mem::take(&mut wanted.waiting);
+            (wanted.kept.take(), wanted.filed.take(), wanted.servers.take(), waiting)
         };
-        if kept.is_some() || filed.is_some() {
+        if kept.is_some() || filed.is_some() || servers.is_some() {
             whole.number += 1;
             whole.kept = kept.or(whole.kept);
             whole.filed = filed.or(whole.filed);
+            whole.servers = servers.unwrap_or(whole.servers);
             let store = &mut stores[(whole.number % 2) as usize];
             // The other store holds what is safe so far: this one is written until it holds the new state.
             while let Err(_refused) = guarded(|| store.write(&whole)) {
--- a/crates/hive/src/front.rs
+++ b/crates/hive/src/front.rs
@@ -28,8 +28,8 @@
 const HEAD_LEAST: usize = 8 * 1024;
 /// Pause after a failed accept.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
-/// When a client that came before there is a configuration is best back.
-const BACK_AFTER: Duration = Duration::from_millis(300);
+/// When a client that came before there is a configuration is best back: a restart of all takes so long.
+const BACK_AFTER: Duration = Duration::from_millis(700);
 
 pub type Answer = Response<Full<Bytes>>;
 
--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats, Watch};
-use ashvane_waggle::{Beat, Board, Digest, News, Node, partners};
+use ashvane_waggle::{Beat, Board, Digest, News, Node, Server, State, partners};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -24,7 +24,7 @@
 /// How often digests are compared over each link.
 const COMPARE: Duration = Duration::from_millis(1000);
 /// Pause before a process that was called in vain is called again, ...
-const DIAL_AGAIN: Duration = Duration::from_millis(500);
+const DIAL_AGAIN: Duration = Duration::from_millis(200);
 /// ... and time for which another is called in its place.
 const UNREACHED: Duration = Duration::from_millis(2500);
 /// A process that was linked, and is no longer, counts as down after this time.
@@ -33,6 +33,8 @@
 const CONFIRMED: Duration = Duration::from_millis(800);
 /// Time after which a configuration that others have is asked for again.
 const WANT_AGAIN: Duration = Duration::from_millis(400);
+/// How often the servers that are known are kept on disk, where they change.
+const HINT: Duration = Duration::from_secs(2);
 /// Digests that differ in a row, after which news has been missed.
 const DIFFERS: u32 = 2;
 
@@ -67,6 +69,8 @@
     /// The link over which this gatherer is told what changes.
     feed: Cell<Option<u64>>,
     compared: Cell<Instant>,
+    /// When the servers were last kept on disk, and how often the board had changed by then.
+    hinted: Cell<(Instant, u64)>,
     /// Whether a process with a disk has told all that it knows.
     synced: Cell<bool>,
     /// Whether what a majority of the disks holds has been read since the start.
@@ -117,6 +121,7 @@
             foretold: Cell::new(false),
             feed: Cell::new(None),
             compared: Cell::new(started),
+            hinted: Cell::new((started, 0)),
             synced: Cell::new(alone),
             read: Cell::new(false),
             reading: Cell::new(false),
@@ -283,7 +288,7 @@
     /// A server has said something. One that leaves is acknowledged only once a majority of those that hear
     /// servers knows it, so that it does not depend on this process.
     pub async fn beat(self: &Rc<Self>, beat: Beat) -> bool {
-        let leaves = beat.state > ashvane_waggle::State::Ready;
+        let leaves = beat.state > State::Ready;
         let id = beat.id.clone();
         let told = self.board.borrow_mut().beat(beat, self.now());
         self.spread(told, None);
@@ -408,7 +413,7 @@
     /// Reads the register at start, and whenever this disk holds something that may be held by no majority.
     fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        self.ask(register.tick());
+        self.ask(register.look(false));
         let ahead = register.filed().map_or(0, |f| f.version) > self.version();
         if (!self.read.get() || ahead) && !self.reading.replace(true) {
             let hive = self.clone();
@@ -563,6 +568,7 @@
         self.spread(told, None);
         self.look_at_register();
         self.look_at_seats();
+        self.look_at_hints();
         let now = Instant::now();
         if self.compared.get() + COMPARE <= now {
             self.compared.set(now);
@@ -592,7 +598,7 @@
             .collect();
         let servers: Vec<Value> = board
             .servers()
-            .filter(|s| s.state < ashvane_waggle::State::Gone)
+            .filter(|s| s.state < State::Gone)
             .map(|s| {
                 json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.silent,
                     "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
@@ -622,12 +628,28 @@
         first.is_some_and(|s| Some(&s.disk) == board.me().disk.as_ref())
     }
 
+    /// Servers that were known before a restart: until they beat, better than none.
+    pub fn recall(&self, servers: Vec<Server>) {
+        self.learn(servers.into_iter().map(News::Server).collect(), None);
+    }
+
+    fn look_at_hints(&self) {
+        let Some(register) = &self.register else { return };
+        let (now, board) = (Instant::now(), self.board.borrow());
+        let (at, changes) = self.hinted.get();
+        if at + HINT <= now && changes != board.changes() {
+            self.hinted.set((now, board.changes()));
+            let known = board.servers().filter(|s| s.state < State::Gone);
+            register.disk().hint(known.cloned().collect());
+        }
+    }
+
     /// A line of counters.
     pub fn count(&self) {
         let (board, links) = (self.board.borrow(), self.links.borrow());
         let c = &links.counters;
         info!(self.log, "counters"; "nodes" => board.nodes().filter(|n| !n.down).count(),
-            "servers" => board.servers().filter(|s| s.state < ashvane_waggle::State::Gone).count(),
+            "servers" => board.servers().filter(|s| s.state < State::Gone).count(),
             "links" => links.iter().count(), "version" => self.version(), "epoch" => board.seats().epoch,
             "lines_out" => c.lines_out, "bytes_out" => c.bytes_out, "lines_in" => c.lines_in,
             "unread" => c.unread, "lost" => c.lost);
@@ -665,8 +687,12 @@
         };
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
+        let comb = peer.disk.is_some();
         self.learn(vec![News::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
+        if let Some(register) = self.register.as_ref().filter(|_| comb) {
+            self.ask(register.look(true));
+        }
     }
 
     fn heard(self: &Rc<Self>, number: u64, line: Line) {
--- a/crates/hive/src/program.rs
+++ b/crates/hive/src/program.rs
@@ -139,11 +139,13 @@
     let inside = listen_inside(&settings)?;
     let address = inside.local_addr().map_err(|why| StartError::Runtime { why })?;
     let life = fastrand::u64(..);
+    let mut recalled = Vec::new();
     let register = match &settings.data_dir {
         None => None,
         Some(dir) => {
-            let (disk, found) =
+            let (disk, mut found) =
                 Disk::open(dir).map_err(|why| StartError::Settings { file: dir.clone(), why })?;
+            recalled = std::mem::take(&mut found.servers);
             let cell = cell(&settings, &disk, found, &log).await;
             info!(log, "disk"; "name" => &*cell.kept().disk, "epoch" => cell.kept().seats.epoch,
                 "version" => cell.filed().map_or(0, |f| f.version));
@@ -168,6 +170,7 @@
     };
     let plane = settings.front.map(|_| Plane::new(&settings, log.clone()));
     let hive = Hive::new(settings.clone(), me, register, plane.clone(), log.clone());
+    hive.recall(recalled);
     let door = Rc::new(Door::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     {
--- a/crates/hive/src/register.rs
+++ b/crates/hive/src/register.rs
@@ -123,14 +123,15 @@
         self.asks.borrow_mut().retain(|_, (at, _)| quests.contains_key(at));
     }
 
-    /// Asks again where answers stay out, and gives up what has taken too long.
-    pub fn tick(&self) -> Asks {
+    /// Asks again where answers stay out, or at once where somebody new can be asked, and gives up what has
+    /// taken too long.
+    pub fn look(&self, at_once: bool) -> Asks {
         let now = Instant::now();
         let mut quests = self.quests.borrow_mut();
         quests.retain(|_, r| r.until > now && r.done.as_ref().is_some_and(|done| !done.is_closed()));
         self.forget(&quests);
         let mut all = Vec::new();
-        for (number, running) in quests.iter_mut().filter(|(_, r)| r.asked + ASK_AGAIN < now) {
+        for (number, running) in quests.iter_mut().filter(|(_, r)| at_once || r.asked + ASK_AGAIN < now) {
             running.asked = now;
             all.push((*number, running.quest.again()));
         }
--- a/crates/hive/tests/disk.rs
+++ b/crates/hive/tests/disk.rs
@@ -87,6 +87,22 @@
     }
 }
 
+#[test]
+fn servers_are_kept_beside_what_is_acknowledged() {
+    let dir = folder("hint");
+    fill(&dir, 2);
+    let (disk, _) = open(&dir);
+    let text = r#"{"id":"i-1","service":"s","address":"x:1","zone":"z","capacity":2,"state":"draining",
+        "seq":4,"silent":false,"keeper":"n"}"#;
+    let server: ashvane_waggle::Server = serde_json::from_str(text).expect("a server");
+    disk.hint(vec![server.clone()]);
+    disk.keep(None, Some(&filed(3))).blocking_recv().expect("kept");
+    disk.close();
+    let (disk, found) = open(&dir);
+    assert!(found.servers == vec![server] && found.filed == Some(filed(3)) && found.kept.is_some());
+    disk.close();
+}
+
 #[test]
 fn a_second_process_on_the_disk_is_turned_away_and_spoils_nothing() {
     let dir = folder("twice");
