--- a/crates/hive/src/plane.rs
+++ b/crates/hive/src/plane.rs
@@ -91,12 +91,20 @@
     }
 }
 
+struct Part {
+    cell: u32,
+    calls: u32,
+    /// Of those, how many may have reached a server.
+    arrived: u32,
+    answer: Option<Answer>,
+}
+
 struct Query {
     reply: oneshot::Sender<Reply>,
     asked: Rc<Asked>,
     route: Rc<Route>,
-    /// A part for each shard: its cell, the calls sent so far and its answer.
-    parts: Vec<(u32, u32, Option<Answer>)>,
+    /// A part for each shard.
+    parts: Vec<Part>,
     /// A server's own word that it failed.
     failure: Option<Answer>,
     may_have_run: bool,
@@ -438,7 +446,8 @@
             let limit = shares.limit;
             cells.iter().for_each(|c| shares.tries.entry(*c).or_default().asked(now, &limit));
         }
-        let parts: Vec<_> = cells.iter().map(|cell| (*cell, 0, None)).collect();
+        let part = |cell: &u32| Part { cell: *cell, calls: 0, arrived: 0, answer: None };
+        let parts: Vec<Part> = cells.iter().map(part).collect();
         {
             let mut known = self.parts.borrow_mut();
             known.extend((0..parts.len()).map(|at| (first + 1 + at as u64, (first, at))));
@@ -466,23 +475,28 @@
 
     fn call(self: &Rc<Self>, part: u64, server: Rc<str>, limit: Duration) {
         let Some((query, at)) = self.parts.borrow().get(&part).copied() else { return };
-        let (asked, call) = {
+        let (asked, call, again) = {
             let mut queries = self.queries.borrow_mut();
             let Some(q) = queries.get_mut(&query) else { return };
-            let (cell, calls, _) = &mut q.parts[at];
-            let call = *calls;
-            *calls += 1;
-            if call > 0 {
+            let part = &mut q.parts[at];
+            let (call, again) = (part.calls, (part.arrived > 0).then_some(part.cell));
+            (part.calls, part.arrived) = (part.calls + 1, part.arrived + 1);
+            if let Some(cell) = again {
                 let now = self.started.elapsed();
-                self.shares.borrow_mut().tries.entry(*cell).or_default().sent_again(now);
+                self.shares.borrow_mut().tries.entry(cell).or_default().sent_again(now);
                 bump(&self.counters.again);
             }
-            (q.asked.clone(), call)
+            (q.asked.clone(), call, again)
         };
         bump(&self.counters.calls);
         let plane = self.clone();
         tokio::task::spawn_local(async move {
             let sent = plane.pool.send(&server, &asked, limit).await;
+            if let (Err(e), Some(cell)) = (&sent, again)
+                && !e.arrived()
+            {
+                plane.shares.borrow_mut().tries.entry(cell).or_default().did_not_arrive();
+            }
             plane.settled(part, call, &server, sent);
         });
     }
@@ -501,7 +515,7 @@
         let outcome = match (sent, query) {
             (Ok(answer), query) if answer.status.is_success() => {
                 if let Some((q, at)) = query {
-                    q.parts[at].2.get_or_insert(answer);
+                    q.parts[at].answer.get_or_insert(answer);
                 }
                 Outcome::Completed
             }
@@ -514,8 +528,9 @@
                 error.outcome()
             }
             (Err(error), query) => {
-                if let Some((q, _)) = query {
+                if let Some((q, at)) = query {
                     q.may_have_run |= error.verdict() == Verdict::MayHaveRun;
+                    q.parts[at].arrived -= u32::from(!error.arrived());
                 }
                 error.outcome()
             }
@@ -535,7 +550,7 @@
     fn answer(&self, query: u64) {
         let Some(q) = self.take(query) else { return };
         let asked_for = q.parts.len();
-        let answers: Vec<Answer> = q.parts.into_iter().filter_map(|(_, _, answer)| answer).collect();
+        let answers: Vec<Answer> = q.parts.into_iter().filter_map(|part| part.answer).collect();
         bump(if answers.len() < asked_for { &self.counters.partial } else { &self.counters.whole });
         let reply = match (&q.route.target, answers.len()) {
             (_, 0) => Reply::Aborted,
--- a/crates/hive/src/verdict.rs
+++ b/crates/hive/src/verdict.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Whether it may have reached a server, be it to be turned away there.
+    pub fn arrived(&self) -> bool {
+        use CallError::*;
+        !matches!(self, NoConnection { .. } | NoRoom { .. } | NeverSent)
+    }
+
     pub fn outcome(&self) -> ashvane::Outcome {
         use ashvane::Outcome;
         match self {
--- a/crates/nectar/src/lib.rs
+++ b/crates/nectar/src/lib.rs
@@ -43,6 +43,11 @@
         self.extras.push_back(now);
     }
 
+    /// One that was sent again has reached no server.
+    pub fn did_not_arrive(&mut self) {
+        self.extras.pop_back();
+    }
+
     /// Whether one more may be sent, among so many gatherers.
     pub fn may(&self, now: Duration, limit: &Limit, gatherers: usize) -> bool {
         let within =
--- a/src/decide/spares.rs
+++ b/src/decide/spares.rs
@@ -18,10 +18,10 @@
             extras as f64 + 1.0 <= b.least + b.share * taken as f64
         };
         let shared = || self.host.may_call_again(p.shard);
-        let room = p.calls == 0 || (self.budget.as_ref().is_none_or(room) && shared());
-        // Where the limit is on servers that were sent it, one that could not be reached takes nothing of it.
+        // Where the limits are on servers that were sent it, one that could not be reached takes nothing of them.
         let v = &self.verticals[q.vertical];
         let unsent = if v.squared { p.unsent.min(UNSENT_MOST) } else { 0 };
+        let room = p.calls == unsent || (self.budget.as_ref().is_none_or(room) && shared());
         !p.done && p.calls < v.most_calls + unsent && (out == 0 || self.second_copies) && apart && room
     }
 
