Control calls are passed on by processes without a disk; the settings file is read again

A forager with listen.control answers 307 with a linked comb's address. At SIGHUP, and each 10 s, the settings file is read again: the machines to begin with hold from then on, a file that cannot be used changes nothing. Test over sockets: a forager beside a comb follows configurations, a drain, and sends control calls on.

--- a/crates/hive/src/control.rs
+++ b/crates/hive/src/control.rs
@@ -7,8 +7,9 @@
 use ashvane_waggle::{Beat, State as ServerState};
 use axum::Router;
 use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, Path, State};
+use axum::extract::{DefaultBodyLimit, Path, Request, State};
 use axum::http::{HeaderValue, Response, StatusCode, header};
+use axum::middleware::{self, Next};
 use axum::routing::{get, put};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
@@ -30,6 +31,8 @@
 
 /// A call, on its way to the one that knows.
 enum Call {
+    /// Where this can be settled, if not here.
+    Where(oneshot::Sender<Option<String>>),
     Beat(Beat, oneshot::Sender<bool>),
     Left(String, oneshot::Sender<bool>),
     Put(Bytes, oneshot::Sender<Put>),
@@ -70,17 +73,29 @@
         answer.await.ok()
     }
 
-    fn router(self) -> Router {
+    fn router(self: Arc<Self>) -> Router {
         Router::new()
             .route("/api/instances/{id}", put(put_instance).delete(delete_instance))
             .route("/api/configuration", put(put_configuration).get(get_configuration))
+            .layer(middleware::from_fn_with_state(self.clone(), pass_on))
             .route("/api/state", get(get_state))
             .route("/api/readiness", get(readiness))
             .layer(DefaultBodyLimit::max(BODY_MOST))
-            .with_state(Arc::new(self))
+            .with_state(self)
     }
 }
 
+/// A process without a disk takes every call and sends the caller on to one that can settle it.
+async fn pass_on(State(control): State<Arc<Control>>, request: Request, next: Next) -> Answer {
+    let Some(Some(at)) = control.ask(Call::Where).await else { return next.run(request).await };
+    let location = format!("http://{at}{}", request.uri().path());
+    let mut answer = say(StatusCode::TEMPORARY_REDIRECT, "");
+    if let Ok(location) = HeaderValue::from_str(&location) {
+        answer.headers_mut().insert(header::LOCATION, location);
+    }
+    answer
+}
+
 fn beat(id: String, body: &[u8]) -> Result<Beat, Vec<String>> {
     let value: Value = serde_json::from_slice(body).map_err(|e| vec![format!("the whole: {e}")])?;
     let at = At::root(&value);
@@ -157,6 +172,7 @@
     match call {
         Call::Beat(beat, reply) => drop(reply.send(hive.beat(beat).await)),
         Call::Left(id, reply) => drop(reply.send(hive.left(&id).await)),
+        Call::Where(reply) => drop(reply.send(hive.settled_at())),
         Call::State(reply) => drop(reply.send(hive.state())),
         Call::Get(reply) => {
             let newest = hive.newest().await;
@@ -179,7 +195,7 @@
 /// Serves the calls that come to this listener.
 pub async fn run(listener: TcpListener, beat_target: String, hive: Rc<Hive>) {
     let (calls, mut coming) = mpsc::unbounded_channel();
-    let router = Control { calls, beat_target }.router();
+    let router = Arc::new(Control { calls, beat_target }).router();
     let settling = async {
         while let Some(call) = coming.recv().await {
             tokio::task::spawn_local(settle(hive.clone(), call));
--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -48,6 +48,7 @@
     pub settings: Settings,
     pub log: Logger,
     started: Instant,
+    seeds: RefCell<Vec<String>>,
     board: RefCell<Board>,
     links: RefCell<Links>,
     /// The newest configuration that a majority of disks is known to hold.
@@ -101,6 +102,7 @@
         let alone = register.is_some();
         let (filed, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
         let hive = Hive {
+            seeds: settings.seeds.clone().into(),
             settings,
             log,
             started,
@@ -338,6 +340,13 @@
 
     // The register.
 
+    /// Where control calls are settled, if not here: at a comb that is linked.
+    pub fn settled_at(&self) -> Option<String> {
+        let links = self.links.borrow();
+        let mut combs = links.iter().filter(|(_, l)| l.peer.disk.is_some());
+        if self.is_comb() { None } else { combs.find_map(|(_, l)| l.peer.control.clone()) }
+    }
+
     fn ask(self: &Rc<Self>, asks: Asks) {
         let Some(register) = &self.register else { return };
         for (seat, number, ask) in asks {
@@ -554,11 +563,19 @@
         }
     }
 
+    /// The settings file has changed: of it only the machines to begin with hold from now on.
+    pub fn reloaded(&self, settings: &Settings) {
+        if *self.seeds.borrow() != settings.seeds {
+            info!(self.log, "other machines to begin with"; "seeds" => settings.seeds.join(" "));
+            self.seeds.borrow_mut().clone_from(&settings.seeds);
+        }
+    }
+
     /// The addresses at which the machines of the settings file reach each other.
     pub fn seed_addresses(&self) -> Vec<String> {
         let ip = |seed: &String| seed.rsplit_once(':').map(|(ip, _)| ip.to_owned());
         let port = self.settings.ports.0;
-        self.settings.seeds.iter().filter_map(ip).map(|ip| format!("{ip}:{port}")).collect()
+        self.seeds.borrow().iter().filter_map(ip).map(|ip| format!("{ip}:{port}")).collect()
     }
 
     pub fn tick(self: &Rc<Self>) {
--- a/crates/hive/src/main.rs
+++ b/crates/hive/src/main.rs
@@ -96,8 +96,8 @@
             return Ok(());
         }
     };
-    let settings = Settings::load(&settings_file(matches.opt_str("settings"))?)?;
-    program::run(role, settings, program::logger(level))
+    let file = settings_file(matches.opt_str("settings"))?;
+    program::run(role, Settings::load(&file)?, &file, program::logger(level))
 }
 
 fn main() -> ExitCode {
--- a/crates/hive/src/program.rs
+++ b/crates/hive/src/program.rs
@@ -134,8 +134,21 @@
     cell
 }
 
+/// Reads the settings file again; one that cannot be used changes nothing.
+fn reload(hive: &Hive, file: Option<&str>, log: &Logger) {
+    match file.map(Settings::load) {
+        Some(Ok(settings)) => hive.reloaded(&settings),
+        Some(Err(why)) => {
+            warn!(log, "the settings file has changed and cannot be used"; "why" => why.to_string())
+        }
+        None => {}
+    }
+}
+
 /// One process, from its listeners to its end. Has to run in a set of local tasks.
-pub async fn serve(role: Role, settings: Settings, log: Logger) -> Result<(), StartError> {
+pub async fn serve(
+    role: Role, settings: Settings, file: Option<&str>, log: Logger,
+) -> Result<(), StartError> {
     let inside = listen_inside(&settings)?;
     let address = inside.local_addr().map_err(|why| StartError::Runtime { why })?;
     let life = fastrand::u64(..);
@@ -209,11 +222,13 @@
             _ = ticks.tick() => hive.tick(),
             _ = end.recv() => drop(leaving.get_or_insert_with(Instant::now)),
             _ = interrupt.recv() => drop(leaving.get_or_insert_with(Instant::now)),
-            _ = hangup.recv() => info!(log, "told that the settings file has changed"),
+            _ = hangup.recv() => reload(&hive, file, &log),
         }
         if counted.elapsed() >= COUNT {
             counted = Instant::now();
             hive.count();
+            // It may change without a signal.
+            reload(&hive, file, &log);
         }
         let Some(since) = leaving else { continue };
         hive.leave();
@@ -232,10 +247,10 @@
 }
 
 /// Runs a role until it is told to end.
-pub fn run(role: Role, settings: Settings, log: Logger) -> Result<(), StartError> {
+pub fn run(role: Role, settings: Settings, file: &str, log: Logger) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|why| StartError::Runtime { why })?;
-    let served = LocalSet::new().block_on(&runtime, serve(role, settings, log));
+    let served = LocalSet::new().block_on(&runtime, serve(role, settings, Some(file), log));
     // A disk that hangs must not hold up the end.
     runtime.shutdown_background();
     served
--- a/crates/hive/tests/common/mod.rs
+++ b/crates/hive/tests/common/mod.rs
@@ -130,20 +130,31 @@
 impl Hall {
     /// A system of one machine, which starts on an empty disk.
     pub fn start(name: &str) -> Hall {
+        Hall::place(name, Role::Comb, None)
+    }
+
+    /// A forager that takes control calls too, beside the comb of another one.
+    pub fn forager(name: &str, beside: &Hall) -> Hall {
+        Hall::place(name, Role::Forager, Some(beside.control))
+    }
+
+    fn place(name: &str, role: Role, beside: Option<SocketAddr>) -> Hall {
         let dir = format!("{}/{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         let _ = std::fs::remove_dir_all(&dir);
         let ip = own_address();
         let at = |port: u16| -> SocketAddr { format!("{ip}:{port}").parse().expect("an address") };
         let (front, readiness, control, port) = (at(8043), at(8041), at(8047), 7080);
+        let seed = beside.unwrap_or(control);
+        let disk = if beside.is_none() { format!("data-dir = {dir:?}") } else { String::new() };
         let text = format!(
             r#"
-node = "n1"
+node = "{name}"
 ip = "{ip}"
 zone = "a"
 internal-ports = [{port}, {port}]
-seed-nodes = ["{control}"]
+seed-nodes = ["{seed}"]
 bootstrap = true
-data-dir = "{dir}"
+{disk}
 beat-interval-ms = 60000
 [zones]
 a = "r"
@@ -156,7 +167,7 @@
         let settings = Settings::parse(&text, name).expect("settings");
         spawn_local(async move {
             let log = Logger::root(Discard, o!());
-            serve(Role::Comb, settings, log).await.expect("it serves");
+            serve(role, settings, None, log).await.expect("it serves");
         });
         Hall { front, control, readiness }
     }
