--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -714,7 +714,7 @@
 
     fn heard(self: &Rc<Self>, number: u64, line: Line) {
         match line {
-            Line::Hello(_) => {}
+            Line::Hello(_) | Line::Packed(_) => {}
             Line::News { number: asked, news } => {
                 self.learn(news, Some(number));
                 if asked > 0 {
--- a/crates/hive/src/links.rs
+++ b/crates/hive/src/links.rs
@@ -13,6 +13,8 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
+use crate::packed;
+
 /// The longest line that is read, in bytes: a configuration and some.
 const LINE_MOST: usize = 8 << 20;
 /// Lines that may wait to be written: a peer that does not read is cut off.
@@ -55,6 +57,29 @@
         number: u64,
         told: Told,
     },
+    /// Another line, deflated: where many entries go at once they are much alike.
+    Packed(String),
+}
+
+/// Lines longer than this are packed, in bytes.
+const PACKED_FROM: usize = 1200;
+
+/// A line as it is written.
+fn written(line: &Line) -> Option<Rc<str>> {
+    let mut text = serde_json::to_string(line).ok()?;
+    // A configuration is packed already.
+    if text.len() > PACKED_FROM && !matches!(line, Line::Config(_)) {
+        text = serde_json::to_string(&Line::Packed(packed::pack(text.as_bytes()))).ok()?;
+    }
+    Some((text + "\n").into())
+}
+
+/// A line as it was meant; none where it cannot be read.
+fn meant(bytes: &[u8]) -> Option<Line> {
+    match serde_json::from_slice(bytes).ok()? {
+        Line::Packed(text) => serde_json::from_slice(&packed::unpack(&text)?).ok(),
+        line => Some(line),
+    }
 }
 
 /// One connection as its owner sees it.
@@ -128,8 +153,8 @@
     }
 
     pub fn send(&mut self, number: u64, line: &Line) {
-        if let Ok(text) = serde_json::to_string(line) {
-            self.send_text(number, (text + "\n").into());
+        if let Some(text) = written(line) {
+            self.send_text(number, text);
         }
     }
 
@@ -144,8 +169,10 @@
 
     /// The same to all of these.
     pub fn send_all(&mut self, numbers: &[u64], line: &Line) {
-        let Ok(text) = serde_json::to_string(line) else { return };
-        let text: Rc<str> = (text + "\n").into();
+        if numbers.is_empty() {
+            return;
+        }
+        let Some(text) = written(line) else { return };
         numbers.iter().for_each(|number| self.send_text(*number, text.clone()));
     }
 }
@@ -193,18 +220,18 @@
             if !matches!(timeout(SILENT, line(&mut reader, &mut bytes)).await, Ok(true)) {
                 return;
             }
-            let read = serde_json::from_slice(&bytes);
+            let read = meant(&bytes);
             if bytes.capacity() > 64 * 1024 {
                 bytes = Vec::new();
             }
             {
                 let mut links = listener.links().borrow_mut();
                 links.counters.lines_in += 1;
-                links.counters.unread += u64::from(read.is_err());
+                links.counters.unread += u64::from(read.is_none());
                 let Some(link) = links.get_mut(number) else { return };
                 link.heard = Instant::now();
             }
-            let Ok(line) = read else { return };
+            let Some(line) = read else { return };
             listener.heard(number, line);
         }
     };
@@ -238,3 +265,23 @@
     tokio::task::spawn_local(run(stream, true, listener));
     true
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn long_lines_are_packed_and_read_as_they_were() {
+        let summary = Summary {
+            servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_waggle::State::Ready, n, false))).collect(),
+            ..Summary::default()
+        };
+        for (line, packed) in [(Line::Summary(summary), true), (Line::Feed(true), false)] {
+            let text = written(&line).expect("written");
+            assert!(text.ends_with('\n') && text.contains("packed") == packed && text.len() < PACKED_FROM);
+            let again = meant(text.as_bytes()).and_then(|line| serde_json::to_string(&line).ok());
+            assert_eq!(again, serde_json::to_string(&line).ok());
+        }
+        assert!(meant(b"{\"packed\":\"%\"}").is_none() && meant(b"nonsense").is_none());
+    }
+}
