A query's end looks up its own parts only; digests of parts are copied only to be sent

Cause, on rereading: each query that ended went through the parts of all that were held, and each digest that came copied the 32 digests of parts whether or not they were sent. Behaviour as before; tests of the crate pass.

--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -248,10 +248,8 @@
     /// way. The one with the lower name begins, or the one that has just come.
     fn compared_with(&self, number: u64, digest: Digest) {
         self.want(number, digest.version);
-        let (mine, buckets, name) = {
-            let board = self.board.borrow();
-            (board.digest(self.version()), board.buckets(), board.me().name.clone())
-        };
+        let board = self.board.borrow();
+        let mine = board.digest(self.version());
         let mut links = self.links.borrow_mut();
         let Some(link) = links.get_mut(number) else { return };
         let comb = link.peer.disk.is_some();
@@ -264,9 +262,9 @@
         }
         link.differs += 1;
         let new_here = comb && !self.synced.get();
-        if new_here || (link.differs >= DIFFERS && name < link.peer.name) {
+        if new_here || (link.differs >= DIFFERS && board.me().name < link.peer.name) {
             link.differs = 0;
-            links.send(number, &Line::Buckets(buckets));
+            links.send(number, &Line::Buckets(board.buckets()));
         }
     }
 
--- a/crates/hive/src/plane.rs
+++ b/crates/hive/src/plane.rs
@@ -542,8 +542,10 @@
     /// Ends a query: what its calls still bring is for the module only.
     fn take(&self, query: u64) -> Option<Query> {
         let q = self.queries.borrow_mut().remove(&query)?;
-        let gone = query + 1..=query + q.parts.len() as u64;
-        self.parts.borrow_mut().retain(|part, _| !gone.contains(part));
+        let mut parts = self.parts.borrow_mut();
+        for part in query + 1..=query + q.parts.len() as u64 {
+            parts.remove(&part);
+        }
         Some(q)
     }
 
