--- a/crates/comb/src/duty.rs
+++ b/crates/comb/src/duty.rs
@@ -12,6 +12,11 @@
 /// many losses.
 const DROPPED: Duration = Duration::from_secs(10);
 
+/// Whose duty it is: the first seat whose disk lives.
+pub fn holder<'a>(seats: &'a Seats, live: &[Seat]) -> Option<&'a Seat> {
+    seats.seats.iter().find(|s| live.iter().any(|l| l.disk == s.disk))
+}
+
 /// Which seats' disks are out of sight, and since when.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
@@ -32,8 +37,8 @@
     /// another's, or if no majority is in sight to decide it.
     pub fn next(&self, now: Duration, me: &str, seats: &Seats, live: &[Seat]) -> Option<Vec<Seat>> {
         let lives = |disk: &str| live.iter().any(|l| &*l.disk == disk);
-        let mut sighted = seats.seats.iter().filter(|s| lives(&s.disk));
-        if sighted.clone().count() < seats.majority() || sighted.next().is_none_or(|s| &*s.disk != me) {
+        let sighted = seats.seats.iter().filter(|s| lives(&s.disk)).count();
+        if sighted < seats.majority() || holder(seats, live).is_none_or(|s| &*s.disk != me) {
             return None;
         }
         // Another disk at its address: it was wiped, or replaced.
--- a/crates/hive/src/hive.rs
+++ b/crates/hive/src/hive.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats, Watch};
+use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
 use ashvane_waggle::{Beat, Board, Digest, News, Node, Server, State, partners};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
@@ -447,12 +447,17 @@
         first == Some(&board.me().name) && combs.iter().filter(seated).count() >= board.seats().majority()
     }
 
+    /// The disks that live, as seen from here.
+    fn live_seats(&self) -> Vec<Seat> {
+        let seat = |n: &Node| Some(Seat { disk: n.disk.clone()?, address: n.address.clone() });
+        self.board.borrow().nodes().filter(|n| self.lives(n)).filter_map(seat).collect()
+    }
+
     /// Sees to it that the seats are those of disks that live, where that is this process's duty.
     fn look_at_seats(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
         let (now, board) = (self.now(), self.board.borrow());
-        let seat = |n: &Node| Some(Seat { disk: n.disk.clone()?, address: n.address.clone() });
-        let live: Vec<Seat> = board.nodes().filter(|n| self.lives(n)).filter_map(seat).collect();
+        let live = self.live_seats();
         let mut watch = self.watch.borrow_mut();
         watch.look(now, board.seats(), &live);
         let me = board.me().disk.clone().unwrap_or_default();
@@ -638,9 +643,8 @@
 
     fn has_seats_duty(&self) -> bool {
         let board = self.board.borrow();
-        let live = |disk: &str| board.nodes().any(|n| n.disk.as_deref() == Some(disk) && self.lives(n));
-        let first = board.seats().seats.iter().find(|s| live(&s.disk));
-        first.is_some_and(|s| Some(&s.disk) == board.me().disk.as_ref())
+        let holder = duty::holder(board.seats(), &self.live_seats());
+        holder.is_some_and(|s| Some(&s.disk) == board.me().disk.as_ref())
     }
 
     /// Servers that were known before a restart: until they beat, better than none.
