A part is lost by the answers' latency, not by the fleet's pace, which silence raises

Change: four times the usual latency, whatever the fleet's pace. The usual latency itself follows answers, so a slowdown of all still moves it. Assumption that did not carry over: that the fleet's pace tells a slowdown of all from losses.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,8 +22,9 @@
 /// Or sooner, at so many times its usual latency: where a spare is held, and where it must go again itself.
 const LATE_WITH_SPARE: f64 = 1.7;
 const LATE_WITHOUT: f64 = 4.0;
-/// Times its usual latency at which a part past the threshold is lost, not late: never in a slowdown of all.
-const LOST: f64 = 8.0;
+/// Times its usual latency at which a part past the threshold is lost, not late. The usual latency follows the
+/// answers, so a slowdown of all moves it. The fleet's pace does not count here: silence raises that too.
+const LOST: f64 = 4.0;
 /// Servers that may look impaired at once: the source's number, or this share of those used in a second.
 const IMPAIRED_MOST: f64 = 2.0;
 const IMPAIRED_SHARE: f64 = 0.34;
--- a/src/decide/spares.rs
+++ b/src/decide/spares.rs
@@ -121,7 +121,8 @@
         }
         // A lost part is like a failed one, which neither breaker nor cap holds back.
         let threshold = self.verticals[q.vertical].slo.mul_f64(THRESHOLD);
-        let lost = self.now >= p.last_sent.max(self.awake) + threshold.max(self.usual_times(q, LOST));
+        let lost_after = threshold.max(Duration::from_secs_f64(LOST * self.expected(q)));
+        let lost = self.now >= p.last_sent.max(self.awake) + lost_after;
         let impaired = self.impaired.len();
         let used = self.sends.at(self.now).min(self.servers.len() as f64);
         let many = impaired as f64 > (used * IMPAIRED_SHARE).max(IMPAIRED_MOST);
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -89,6 +89,25 @@
     assert_eq!(stage.count("call"), 6, "past the threshold the part is lost: {:?}", stage.log());
 }
 
+/// Guards against parts that wait until they are late where most servers lose this gatherer's calls: their silence
+/// raises the fleet's pace, as a slowdown of all would, though what answers comes is as quick as ever.
+#[test]
+fn a_fleet_that_mostly_loses_calls_does_not_pass_for_a_slow_one() {
+    let mut stage = Stage::new(Settings { span: 1, cells: 12, ..any(0.5) });
+    let all: Vec<u32> = (0..12).collect();
+    warm_up(&mut stage);
+    for id in (20_000..22_000).step_by(100) {
+        stage.query(id, 0, &all);
+        stage.pass(ms(50));
+        stage.settle_all(|_, c| (number(&c.server) < 2).then_some(Outcome::Completed));
+    }
+    stage.query(300, 0, &all);
+    let sent = stage.count("call 30") + stage.count("call 31");
+    stage.pass(ms(550));
+    let sent_then = stage.count("call 30") + stage.count("call 31");
+    assert!(sent == 6 && sent_then > 9, "past the threshold they are lost: {sent}, {sent_then}");
+}
+
 #[test]
 fn parts_of_one_key_share_a_home_until_it_is_past_its_bound() {
     let mut stage = Stage::new(Settings { span: 6, ..any(1.0) });
