--- a/crates/hive/tests/curves.rs
+++ b/crates/hive/tests/curves.rs
@@ -137,7 +137,13 @@
     let number = |text: &str| text.parse().expect("three numbers");
     let sizes: Vec<Vec<usize>> = match std::env::var("CURVES") {
         Ok(size) => vec![size.split(',').map(number).collect()],
-        Err(_) => vec![vec![9, 5, 51], vec![60, 9, 120], vec![60, 9, 1200], vec![200, 9, 1200], vec![600, 27, 10_000]],
+        Err(_) => vec![
+            vec![9, 5, 51],
+            vec![60, 9, 120],
+            vec![60, 9, 1200],
+            vec![200, 9, 1200],
+            vec![600, 27, 10_000],
+        ],
     };
     for size in sizes {
         let [foragers, combs, servers] = size[..] else { panic!("three numbers") };
