Nothing counts as lost while no answer comes at all

Cause: the gatherer's own test, twenty queries held while all servers are silent, had more than eighty calls: each part was taken for lost at half its SLO time and went again, past the breaker. Now a part is lost only where some answer of its vertical came within an SLO time. Tests: past_what_may_be_held_queries_are_sent_back_at_once fails before, passes now; both tests of lost parts hold.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -109,6 +109,8 @@
     /// Usual seconds of a part, in the first and the second step.
     usual: [f64; 2],
     heard: Duration,
+    /// Whether any answer has come yet.
+    answered: bool,
     /// Seconds that its clients wait: the SLO time, or less while many leave before their time.
     patience: f64,
 }
@@ -257,7 +259,7 @@
     fn new(v: &VerticalSettings, most_calls: u32, squared: bool, now: Duration) -> Self {
         let (need, floor, follow_up, slo) = (v.need, v.floor, v.follow_up, v.slo);
         let (late_utility, effect) = (v.late_utility, v.effect);
-        let (heard, patience) = (now, slo.as_secs_f64());
+        let (heard, answered, patience) = (now, false, slo.as_secs_f64());
         let first = patience * USUAL_AT_FIRST;
         let usual = [first, first * f64::from(follow_up.min(1))];
         Vertical {
@@ -271,6 +273,7 @@
             squared,
             usual,
             heard,
+            answered,
             patience,
         }
     }
@@ -355,7 +358,8 @@
         match self.verticals.get_mut(at) {
             Some(v) => {
                 if v.slo == new.slo {
-                    (new.usual, new.heard, new.patience) = (v.usual, v.heard, v.patience);
+                    (new.usual, new.heard, new.answered) = (v.usual, v.heard, v.answered);
+                    new.patience = v.patience;
                 }
                 *v = new;
             }
--- a/src/decide/servers.rs
+++ b/src/decide/servers.rs
@@ -143,7 +143,7 @@
                 let v = &mut self.verticals[c.vertical];
                 let usual = &mut v.usual[c.step];
                 *usual += (took - *usual).min(*usual * OUTLIER) * USUAL_WEIGHT;
-                v.heard = now;
+                (v.heard, v.answered) = (now, true);
             }
             Outcome::CalledOff | Outcome::TimedOut => s.pace = s.pace.max(ratio),
             Outcome::Errored => *s.faults.entry(c.vertical).or_insert(1.0) *= FAILED_TIMES,
--- a/src/decide/spares.rs
+++ b/src/decide/spares.rs
@@ -120,9 +120,11 @@
             self.impaired.pop_first();
         }
         // A lost part is like a failed one, which neither breaker nor cap holds back.
-        let threshold = self.verticals[q.vertical].slo.mul_f64(THRESHOLD);
-        let lost_after = threshold.max(Duration::from_secs_f64(LOST * self.expected(q)));
-        let lost = self.now >= p.last_sent.max(self.awake) + lost_after;
+        let v = &self.verticals[q.vertical];
+        let lost_after = v.slo.mul_f64(THRESHOLD).max(Duration::from_secs_f64(LOST * self.expected(q)));
+        // Others have been answered of late: where nobody answers, to ask again helps nobody.
+        let answers = v.answered && self.now < v.heard + v.slo;
+        let lost = answers && self.now >= p.last_sent.max(self.awake) + lost_after;
         let impaired = self.impaired.len();
         let used = self.sends.at(self.now).min(self.servers.len() as f64);
         let many = impaired as f64 > (used * IMPAIRED_SHARE).max(IMPAIRED_MOST);
