A process's own entry is made in one place, in service and in the meadow

From the reread: the meadow made it again, with its own idea of who takes clients. Behaviour is the same; foragers in the meadow now have a front in their settings, as in service.

--- a/crates/hive/src/program.rs
+++ b/crates/hive/src/program.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_comb::{Cell, Seat, Seats};
+use ashvane_comb::{Cell, DiskId, Seat, Seats};
 use ashvane_waggle::Node;
 use slog::{Drain as _, Level, Logger, info, o, warn};
 use tokio::net::{TcpListener, TcpSocket};
@@ -134,6 +134,21 @@
     cell
 }
 
+/// This process, as others know it.
+pub fn node(settings: &Settings, life: u64, address: String, disk: Option<DiskId>) -> Node {
+    Node {
+        name: settings.node.clone(),
+        life,
+        age: 1,
+        down: false,
+        address,
+        control: settings.control.map(|c| c.to_string()),
+        zone: settings.zone.clone(),
+        front: settings.front.is_some(),
+        disk,
+    }
+}
+
 /// Reads the settings file again; one that cannot be used changes nothing.
 fn reload(hive: &Hive, file: Option<&str>, log: &Logger) {
     match file.map(Settings::load) {
@@ -170,17 +185,7 @@
         return Err(StartError::Usage { why: "a comb needs data-dir in its settings".to_owned() });
     }
     let (register, disk) = register.unzip();
-    let me = Node {
-        name: settings.node.clone(),
-        life,
-        age: 1,
-        down: false,
-        address: address.to_string(),
-        control: settings.control.map(|c| c.to_string()),
-        zone: settings.zone.clone(),
-        front: settings.front.is_some(),
-        disk,
-    };
+    let me = node(&settings, life, address.to_string(), disk);
     let plane = settings.front.map(|_| Plane::new(&settings, log.clone()));
     let hive = Hive::new(settings.clone(), me, register, plane.clone(), Rc::new(links::Sockets), log.clone());
     hive.recall(recalled);
--- a/crates/hive/tests/meadow/mod.rs
+++ b/crates/hive/tests/meadow/mod.rs
@@ -11,10 +11,9 @@
 use ashvane_hive::disk::{Disk, Whole};
 use ashvane_hive::hive::{Hive, TICK};
 use ashvane_hive::links::{self, Dialled, Net, Ways};
-use ashvane_hive::program::cell;
+use ashvane_hive::program::{cell, node};
 use ashvane_hive::register::Register;
 use ashvane_hive::settings::Settings;
-use ashvane_waggle::Node;
 use slog::{Discard, Drain, KV as _, Logger, OwnedKVList, Record, o};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
 use tokio::sync::{mpsc, oneshot};
@@ -238,7 +237,11 @@
         let (jobs, todo) = mpsc::unbounded_channel();
         let comb = self.platter.is_some();
         let disk = if comb { "data-dir = \"-\"\n" } else { "" };
-        let listen = if comb { format!("control = \"{}:8047\"", self.ip) } else { String::new() };
+        let listen = if comb {
+            format!("control = \"{}:8047\"", self.ip)
+        } else {
+            format!("front = \"{}:8043\"", self.ip)
+        };
         let text = format!(
             "node = \"{}\"\nip = \"{}\"\nzone = \"z{}\"\ninternal-ports = [7080, 7095]\nbootstrap = {bootstrap}\n\
              seed-nodes = {:?}\nbeat-interval-ms = 1000\n{disk}\
@@ -338,17 +341,7 @@
         register = Some((Register::new(cell, disk, life), name));
     }
     let (register, disk) = register.unzip();
-    let me = Node {
-        name: settings.node.clone(),
-        life,
-        age: 1,
-        down: false,
-        address,
-        control: settings.control.map(|c| c.to_string()),
-        zone: settings.zone.clone(),
-        front: disk.is_none(),
-        disk,
-    };
+    let me = node(&settings, life, address, disk);
     let wing = Wing { air, own: settings.ip.clone() };
     let hive = Hive::new(settings, me, register, None, Rc::new(wing), log);
     hive.recall(recalled);
