--- a/crates/waggle/src/board.rs
+++ b/crates/gossip/src/board.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use ashvane_comb::Seats;
+use ashvane_quorum::Seats;
 
 use crate::{BUCKETS, Buckets, Digest, News, Node, NodeRank, Server, State, Summary, bucket, hash};
 
--- a/crates/waggle/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::hash::Hasher as _;
 
-use ashvane_comb::{DiskId, Seats};
+use ashvane_quorum::{DiskId, Seats};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
--- a/crates/waggle/tests/news.rs
+++ b/crates/gossip/tests/news.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use ashvane_waggle::{Beat, Board, News, Node, Role, State, partners};
+use ashvane_gossip::{Beat, Board, News, Node, Role, State, partners};
 
 const BEAT: Duration = Duration::from_millis(1000);
 
--- a/crates/hive/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_waggle::{Beat, State as ServerState};
+use ashvane_gossip::{Beat, State as ServerState};
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, Request, State};
--- a/crates/hive/src/hive.rs
+++ b/crates/node/src/hive.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_comb::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
-use ashvane_waggle::{Beat, Board, Digest, News, Node, Server, State, partners};
+use ashvane_quorum::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
+use ashvane_gossip::{Beat, Board, Digest, News, Node, Server, State, partners};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -372,7 +372,7 @@
         }
     }
 
-    fn told(self: &Rc<Self>, number: u64, told: ashvane_comb::Told) {
+    fn told(self: &Rc<Self>, number: u64, told: ashvane_quorum::Told) {
         let Some(register) = &self.register else { return };
         let (asks, seats) = register.told(number, told);
         if let Some(seats) = seats {
--- a/crates/hive/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_comb::{Ask, Filed, Told};
-use ashvane_waggle::{Buckets, Digest, News, Node, Summary};
+use ashvane_quorum::{Ask, Filed, Told};
+use ashvane_gossip::{Buckets, Digest, News, Node, Summary};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
 use tokio::net::TcpStream;
@@ -317,7 +317,7 @@
     #[test]
     fn long_lines_are_packed_and_read_as_they_were() {
         let summary = Summary {
-            servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_waggle::State::Ready, n, false))).collect(),
+            servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_gossip::State::Ready, n, false))).collect(),
             ..Summary::default()
         };
         for (line, packed) in [(Line::Summary(summary), true), (Line::Feed(true), false)] {
--- a/crates/hive/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,22 +2,22 @@
 
 use std::process::ExitCode;
 
-use ashvane_hive::client;
-use ashvane_hive::program::{self, Role};
-use ashvane_hive::settings::Settings;
-use ashvane_hive::verdict::StartError;
+use ashvane_node::client;
+use ashvane_node::program::{self, Role};
+use ashvane_node::settings::Settings;
+use ashvane_node::verdict::StartError;
 use getopts::Options;
 use slog::Level;
 
-const WORDS: &str = "ashvane-hive: a search front over sharded indexes
+const WORDS: &str = "ashvane-node: a search front over sharded indexes
 
-    ashvane-hive forager     take clients' requests and gather their answers
-    ashvane-hive comb        keep the configuration, hear servers and operators
-    ashvane-hive check FILE  ok, or all faults of a settings file or a configuration (.json)
-    ashvane-hive get         the configuration that a majority of the disks holds
-    ashvane-hive put FILE    send a configuration, checked here first
-    ashvane-hive show [all|process|configuration|duties|disks|nodes|servers|allotments]
-    ashvane-hive version
+    ashvane-node forager     take clients' requests and gather their answers
+    ashvane-node comb        keep the configuration, hear servers and operators
+    ashvane-node check FILE  ok, or all faults of a settings file or a configuration (.json)
+    ashvane-node get         the configuration that a majority of the disks holds
+    ashvane-node put FILE    send a configuration, checked here first
+    ashvane-node show [all|process|configuration|duties|disks|nodes|servers|allotments]
+    ashvane-node version
 
 The settings file is named by ASHVANE_CONFIG or --settings. get, put and show call the control address that
 --at names (or a forager's readiness address, for show); it may be given several times: the next one is called
@@ -50,7 +50,7 @@
     }
     let fault = |why: String| StartError::Settings { file: file.clone(), why };
     let text = std::fs::read(file).map_err(|e| fault(e.to_string()))?;
-    let config = ashvane_hive::config::Config::parse(&text).map_err(|faults| fault(faults.join("; ")))?;
+    let config = ashvane_node::config::Config::parse(&text).map_err(|faults| fault(faults.join("; ")))?;
     println!("ok, version {}, {} routes", config.version, config.routes().count());
     Ok(())
 }
@@ -81,7 +81,7 @@
             return print(client::show(&addresses(&matches)?, what, matches.opt_present("json"))?);
         }
         Some("version") => {
-            println!("ashvane-hive {}", env!("CARGO_PKG_VERSION"));
+            println!("ashvane-node {}", env!("CARGO_PKG_VERSION"));
             return Ok(());
         }
         None | Some("help") => {
@@ -104,7 +104,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("ashvane-hive: {e}");
+            eprintln!("ashvane-node: {e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/hive/src/plane.rs
+++ b/crates/node/src/plane.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use ashvane::{Effect, Gatherer, Health, Host, Outcome, Settings as Start, VerticalSettings};
-use ashvane_nectar::{Limit, Sharers, Tries, connections};
-use ashvane_waggle::{Board, News, Server, State};
+use ashvane_quota::{Limit, Sharers, Tries, connections};
+use ashvane_gossip::{Board, News, Server, State};
 use axum::http::HeaderValue;
 use bytes::Bytes;
 use serde_json::{Value, json};
--- a/crates/hive/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_comb::{Cell, DiskId, Seat, Seats};
-use ashvane_waggle::Node;
+use ashvane_quorum::{Cell, DiskId, Seat, Seats};
+use ashvane_gossip::Node;
 use slog::{Drain as _, Level, Logger, info, o, warn};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
--- a/crates/hive/src/register.rs
+++ b/crates/node/src/register.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_comb::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told};
+use ashvane_quorum::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
--- a/crates/hive/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use ashvane_hive::program::{Role, serve};
-use ashvane_hive::settings::Settings;
+use ashvane_node::program::{Role, serve};
+use ashvane_node::settings::Settings;
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader};
 use tokio::net::{TcpListener, TcpStream};
--- a/crates/hive/tests/configurations.rs
+++ b/crates/node/tests/configurations.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use ashvane_hive::config::Config;
+use ashvane_node::config::Config;
 
 fn judged_as_named(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read(path)?;
--- a/crates/hive/tests/curves.rs
+++ b/crates/node/tests/curves.rs
@@ -1,6 +1,6 @@
 //! What it costs to know, by the numbers of machines and servers: a table, by hand. What grows faster than its cause shows.
 //!
-//! `cargo test --release -p ashvane-hive --test curves -- --ignored --nocapture`; `CURVES=600,27,10000` plays one size.
+//! `cargo test --release -p ashvane-node --test curves -- --ignored --nocapture`; `CURVES=600,27,10000` plays one size.
 
 #[allow(dead_code)]
 mod meadow;
@@ -9,8 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_hive::hive::Put;
-use ashvane_waggle::{Beat, State};
+use ashvane_node::hive::Put;
+use ashvane_gossip::{Beat, State};
 use meadow::{Machine, Meadow, configuration, ms, play};
 use tokio::time::{Instant, sleep};
 
@@ -73,7 +73,7 @@
     // Each comb hears its part of the servers, each second.
     for (at, comb) in combs.iter().enumerate() {
         let (servers, step) = (size.servers, combs.len());
-        let hears = move |hive: Rc<ashvane_hive::hive::Hive>| async move {
+        let hears = move |hive: Rc<ashvane_node::hive::Hive>| async move {
             for seq in 1.. {
                 for n in (at..servers).step_by(step) {
                     hive.beat(beat(n, State::Ready, seq)).await;
@@ -93,14 +93,14 @@
     sleep(ms(10_000)).await;
     let calm = (said(&meadow, true), said(&meadow, false));
     let text = configuration(7, 0);
-    let put = |hive: Rc<ashvane_hive::hive::Hive>| async move { hive.put(text.as_bytes()).await };
+    let put = |hive: Rc<ashvane_node::hive::Hive>| async move { hive.put(text.as_bytes()).await };
     assert!(matches!(combs[0].ask(PATIENCE, put).await, Some(Put::Held(7))));
     let version = |m: &Machine| m.hive().and_then(|h| h.config()).is_some_and(|c| c.version == 7);
     let config = known(&foragers, version).await;
     let mut drains = Vec::new();
     for n in 0..5 {
         let (comb, id) = (&combs[n % combs.len()], format!("i-{n}"));
-        let leaves = move |hive: Rc<ashvane_hive::hive::Hive>| async move {
+        let leaves = move |hive: Rc<ashvane_node::hive::Hive>| async move {
             hive.beat(beat(n, State::Draining, 1_000_000)).await
         };
         assert_eq!(comb.ask(PATIENCE, leaves).await, Some(true), "acknowledged");
--- a/crates/hive/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -2,8 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
-use ashvane_comb::{Cell, Filed, Seats};
-use ashvane_hive::disk::{Disk, Found};
+use ashvane_quorum::{Cell, Filed, Seats};
+use ashvane_node::disk::{Disk, Found};
 
 fn folder(name: &str) -> PathBuf {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
@@ -94,7 +94,7 @@
     let (disk, _) = open(&dir);
     let text = r#"{"id":"i-1","service":"s","address":"x:1","zone":"z","capacity":2,"state":"draining",
         "seq":4,"silent":false,"keeper":"n"}"#;
-    let server: ashvane_waggle::Server = serde_json::from_str(text).expect("a server");
+    let server: ashvane_gossip::Server = serde_json::from_str(text).expect("a server");
     disk.hint(vec![server.clone()]);
     disk.keep(None, Some(&filed(3))).blocking_recv().expect("kept");
     disk.close();
--- a/crates/hive/tests/meadow/mod.rs
+++ b/crates/node/tests/meadow/mod.rs
@@ -8,12 +8,12 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use ashvane_hive::disk::{Disk, Whole};
-use ashvane_hive::hive::{Hive, TICK};
-use ashvane_hive::links::{self, Dialled, Net, Ways};
-use ashvane_hive::program::{cell, node};
-use ashvane_hive::register::Register;
-use ashvane_hive::settings::Settings;
+use ashvane_node::disk::{Disk, Whole};
+use ashvane_node::hive::{Hive, TICK};
+use ashvane_node::links::{self, Dialled, Net, Ways};
+use ashvane_node::program::{cell, node};
+use ashvane_node::register::Register;
+use ashvane_node::settings::Settings;
 use slog::{Discard, Drain, KV as _, Logger, OwnedKVList, Record, o};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
 use tokio::sync::{mpsc, oneshot};
--- a/crates/hive/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use ashvane_hive::client;
+use ashvane_node::client;
 use common::{Hall, Message, answer, ask, route, run, sealed, server};
 
 /// A system with one route to one service, whose servers do this.
--- a/crates/hive/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_hive::hive::Put;
-use ashvane_waggle::{Beat, State};
+use ashvane_node::hive::Put;
+use ashvane_gossip::{Beat, State};
 use meadow::{Machine, Meadow, configuration, ms, play, say};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -117,7 +117,7 @@
         spawn_local(async move {
             let put = async |at: Rc<Machine>| {
                 let bytes = sent.clone();
-                let put = async move |hive: Rc<ashvane_hive::hive::Hive>| hive.put(bytes.as_bytes()).await;
+                let put = async move |hive: Rc<ashvane_node::hive::Hive>| hive.put(bytes.as_bytes()).await;
                 let held = matches!(at.ask(PATIENCE, put).await, Some(Put::Held(held)) if held >= version);
                 if let Some(wiped) = strike.get().filter(|_| held) {
                     strike.set(None);
@@ -146,7 +146,7 @@
         let combs = self.meadow.combs();
         let at = combs[self.rng.usize(..combs.len())].clone();
         spawn_local(async move {
-            let put = async move |hive: Rc<ashvane_hive::hive::Hive>| hive.put(bad.as_bytes()).await;
+            let put = async move |hive: Rc<ashvane_node::hive::Hive>| hive.put(bad.as_bytes()).await;
             let got = at.ask(PATIENCE, put).await;
             assert!(matches!(got, None | Some(Put::Invalid(_))), "what is invalid is acknowledged");
         });
@@ -366,11 +366,11 @@
     async fn read_back(&mut self) {
         let newest = self.told.borrow().held.iter().map(|(version, _)| *version).max().unwrap_or(0);
         for machine in self.meadow.combs() {
-            let read = async |hive: Rc<ashvane_hive::hive::Hive>| hive.newest().await;
+            let read = async |hive: Rc<ashvane_node::hive::Hive>| hive.newest().await;
             let found = machine.ask(ACK, read).await.flatten().flatten();
             let found = found.unwrap_or_else(|| panic!("{} cannot read the register", machine.name));
             assert!(found.version >= newest, "{} of {newest} acknowledged is read", found.version);
-            let text = ashvane_hive::packed::unpack(&found.text).expect("packed");
+            let text = ashvane_node::packed::unpack(&found.text).expect("packed");
             let text = String::from_utf8(text).expect("text");
             assert!(self.told.borrow().sent.contains(&text), "nobody sent what is read: {text}");
         }
@@ -436,7 +436,7 @@
 /// seeds that are gone (70, 302), a server that had left recalled after a restart of all (365).
 const DAYS: [u64; 8] = [1, 2, 3, 64, 70, 100, 302, 365];
 
-/// By hand: `HIVE_FROM=0 HIVE_DAYS=1000 cargo test --release -p ashvane-hive --test whole`; `HIVE_LOG=1` says all.
+/// By hand: `HIVE_FROM=0 HIVE_DAYS=1000 cargo test --release -p ashvane-node --test whole`; `HIVE_LOG=1` says all.
 #[test]
 fn whole_processes_keep_what_they_have_promised() {
     let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
--- a/crates/comb/tests/model.rs
+++ b/crates/quorum/tests/model.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use ashvane_comb::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told};
+use ashvane_quorum::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told};
 use stateright::{Checker as _, HasDiscoveries, Model, Property};
 
 /// What is taken out.
@@ -95,7 +95,7 @@
     /// A disk's answer, with the guard taken out.
     fn asked(&self, cell: &mut Cell, ask: &Ask) -> Told {
         let kept = cell.kept().clone();
-        let bare = |cell: &Cell, strip: &dyn Fn(&mut ashvane_comb::Kept)| {
+        let bare = |cell: &Cell, strip: &dyn Fn(&mut ashvane_quorum::Kept)| {
             let mut kept = cell.kept().clone();
             strip(&mut kept);
             Cell::restored(kept, cell.filed().cloned())
--- a/crates/comb/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_comb::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told, Watch};
+use ashvane_quorum::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told, Watch};
 
 /// Milliseconds.
 type Time = u64;
@@ -422,7 +422,7 @@
     assert!(caught);
 }
 
-/// By hand: `cargo test --release -p ashvane-comb --test schedule -- --ignored`.
+/// By hand: `cargo test --release -p ashvane-quorum --test schedule -- --ignored`.
 #[test]
 #[ignore = "ten thousand seeds take minutes"]
 fn ten_thousand_seeds() {
