--- a/crates/gossip/src/partners.rs
+++ b/crates/gossip/src/partners.rs
@@ -9,14 +9,14 @@
     /// Takes clients' requests.
     Front,
     /// Keeps state on a disk.
-    Comb,
+    Control,
 }
 
 /// Gatherers that a gatherer talks to beside those with disks.
 const FRONT_PARTNERS: usize = 2;
 
 fn role(node: &Node) -> Role {
-    if node.disk.is_some() { Role::Comb } else { Role::Front }
+    if node.disk.is_some() { Role::Control } else { Role::Front }
 }
 
 /// The partners that a process calls by itself; others may call it. Those with disks all talk to each other,
@@ -29,9 +29,9 @@
     let mut ranked: Vec<(bool, u64, &Node)> =
         others.map(|n| (n.zone == me.zone, hash(&[me.name.as_bytes(), n.name.as_bytes()]), n)).collect();
     ranked.sort_by_key(|(near, rank, _)| std::cmp::Reverse((*near, *rank)));
-    let combs = ranked.iter().filter(|(_, _, n)| role(n) == Role::Comb).map(|(_, _, n)| *n);
-    if role(me) == Role::Comb {
-        return combs.collect();
+    let control_nodes = ranked.iter().filter(|(_, _, n)| role(n) == Role::Control).map(|(_, _, n)| *n);
+    if role(me) == Role::Control {
+        return control_nodes.collect();
     }
     let mut fronts: Vec<_> = ranked.iter().filter(|(_, _, n)| role(n) == Role::Front).collect();
     fronts.sort_by_key(|(_, rank, _)| std::cmp::Reverse(*rank));
@@ -39,9 +39,9 @@
     // Not all from one zone: it may be the one that is cut off.
     let mut chosen: Vec<&Node> = Vec::new();
     let mut rest = Vec::new();
-    for comb in combs {
-        let fresh_zone = !chosen.iter().any(|c| c.zone == comb.zone);
-        if chosen.len() <= losses && fresh_zone { chosen.push(comb) } else { rest.push(comb) }
+    for control_node in control_nodes {
+        let fresh_zone = !chosen.iter().any(|c| c.zone == control_node.zone);
+        if chosen.len() <= losses && fresh_zone { chosen.push(control_node) } else { rest.push(control_node) }
     }
     let missing = (losses + 1).saturating_sub(chosen.len());
     chosen.extend(rest.into_iter().take(missing));
--- a/crates/gossip/tests/news.rs
+++ b/crates/gossip/tests/news.rs
@@ -265,11 +265,11 @@
     for me in &nodes {
         let mine = of(me, &nodes);
         assert!(mine.len() <= 5 && !mine.contains(&me.name));
-        if Role::Front == (if me.disk.is_some() { Role::Comb } else { Role::Front }) {
-            let combs: Vec<&Node> =
+        if Role::Front == (if me.disk.is_some() { Role::Control } else { Role::Front }) {
+            let control_nodes: Vec<&Node> =
                 nodes.iter().filter(|n| mine.contains(&n.name) && n.disk.is_some()).collect();
-            let zones: BTreeSet<&String> = combs.iter().map(|n| &n.zone).collect();
-            assert!(combs.len() == 3 && zones.len() == 3, "one more than may be lost, of several zones");
+            let zones: BTreeSet<&String> = control_nodes.iter().map(|n| &n.zone).collect();
+            assert!(control_nodes.len() == 3 && zones.len() == 3, "one more than may be lost, of several zones");
         }
         moved += mine.symmetric_difference(&of(me, &without)).filter(|n| *n != "n17").count();
         called.extend(mine);
--- a/crates/node/src/hive.rs
+++ b/crates/node/src/hive.rs
@@ -151,7 +151,7 @@
         self.filed.borrow().as_ref().map_or(0, |f| f.version)
     }
 
-    fn is_comb(&self) -> bool {
+    fn is_control_node(&self) -> bool {
         self.register.is_some()
     }
 
@@ -183,12 +183,12 @@
             self.left.set(true);
         }
         let mut links = self.links.borrow_mut();
-        let is_comb = |l: &Link| l.peer.disk.is_some();
+        let is_control_node = |l: &Link| l.peer.disk.is_some();
         // Those with disks tell each other what is new to one of them, and the gatherers that they feed; a
         // gatherer tells the one that feeds it. Whoever is missed finds out by the next digests.
-        let between_combs = from.is_some_and(|n| links.get(n).is_some_and(is_comb));
-        let told = |n: u64, l: &Link| match (self.is_comb(), is_comb(l)) {
-            (true, true) => !between_combs,
+        let between_control_nodes = from.is_some_and(|n| links.get(n).is_some_and(is_control_node));
+        let told = |n: u64, l: &Link| match (self.is_control_node(), is_control_node(l)) {
+            (true, true) => !between_control_nodes,
             (true, false) => l.fed,
             (false, _) => self.feed.get() == Some(n),
         };
@@ -260,16 +260,16 @@
         let mine = board.digest(self.version());
         let mut links = self.links.borrow_mut();
         let Some(link) = links.get_mut(number) else { return };
-        let comb = link.peer.disk.is_some();
+        let control_node = link.peer.disk.is_some();
         if (mine.entries, mine.epoch) == (digest.entries, digest.epoch) {
             link.differs = 0;
-            if comb {
+            if control_node {
                 self.synced.set(true);
             }
             return;
         }
         link.differs += 1;
-        let new_here = comb && !self.synced.get();
+        let new_here = control_node && !self.synced.get();
         if new_here || (link.differs >= DIFFERS && board.me().name < link.peer.name) {
             link.differs = 0;
             links.send(number, &Line::Buckets(board.buckets()));
@@ -322,9 +322,9 @@
         self.confirms.borrow_mut().insert(number, confirm);
         {
             let mut links = self.links.borrow_mut();
-            let combs: Vec<u64> =
+            let control_nodes: Vec<u64> =
                 links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(number, _)| number).collect();
-            links.send_all(&combs, &Line::News { number, news: vec![News::Server(server)] });
+            links.send_all(&control_nodes, &Line::News { number, news: vec![News::Server(server)] });
         }
         let confirmed = tokio::time::timeout(CONFIRMED, confirmed).await;
         self.confirms.borrow_mut().remove(&number);
@@ -346,11 +346,11 @@
 
     // The register.
 
-    /// Where control calls are settled, if not here: at a comb that is linked.
+    /// Where control calls are settled, if not here: at a control_node that is linked.
     pub fn settled_at(&self) -> Option<String> {
         let links = self.links.borrow();
-        let mut combs = links.iter().filter(|(_, l)| l.peer.disk.is_some());
-        if self.is_comb() { None } else { combs.find_map(|(_, l)| l.peer.control.clone()) }
+        let mut control_nodes = links.iter().filter(|(_, l)| l.peer.disk.is_some());
+        if self.is_control_node() { None } else { control_nodes.find_map(|(_, l)| l.peer.control.clone()) }
     }
 
     fn ask(self: &Rc<Self>, asks: Asks) {
@@ -449,10 +449,10 @@
     /// Whether this process is the first live one with a disk, by name, and sees a majority of the disks.
     fn is_first(&self) -> bool {
         let board = self.board.borrow();
-        let combs: Vec<&Node> = board.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
+        let control_nodes: Vec<&Node> = board.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
         let seated = |n: &&&Node| n.disk.as_ref().is_some_and(|d| board.seats().has(d));
-        let first = combs.iter().map(|n| &n.name).min();
-        first == Some(&board.me().name) && combs.iter().filter(seated).count() >= board.seats().majority()
+        let first = control_nodes.iter().map(|n| &n.name).min();
+        first == Some(&board.me().name) && control_nodes.iter().filter(seated).count() >= board.seats().majority()
     }
 
     /// The disks that live, as seen from here.
@@ -511,16 +511,16 @@
         let wanted: Vec<String> = {
             let (board, unreached, links) =
                 (self.board.borrow(), self.unreached.borrow(), self.links.borrow());
-            let reached = |n: &Node| self.is_comb() || !unreached.contains_key(&n.address);
+            let reached = |n: &Node| self.is_control_node() || !unreached.contains_key(&n.address);
             let chosen = partners(board.me(), board.nodes(), self.settings.losses, reached);
             let missing = chosen.iter().filter(|n| links.to(&n.name).is_none());
             let mut wanted: Vec<String> = missing.map(|n| n.address.clone()).collect();
             // One with a disk that is down may be back with nothing but seeds that are gone: the others look for it.
-            let down = board.nodes().filter(|n| self.is_comb() && n.down && n.disk.is_some());
+            let down = board.nodes().filter(|n| self.is_control_node() && n.down && n.disk.is_some());
             let down = down.filter(|n| !unreached.contains_key(&n.address) && links.to(&n.name).is_none());
             wanted.extend(down.map(|n| n.address.clone()));
-            let combs = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
-            if combs == 0 || (self.is_comb() && board.seats().epoch == 0) {
+            let control_nodes = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
+            if control_nodes == 0 || (self.is_control_node() && board.seats().epoch == 0) {
                 let own = &board.me().address;
                 wanted
                     .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
@@ -557,7 +557,7 @@
 
     /// A gatherer has one that tells it what changes: the first of its partners with a disk that is linked.
     fn look_at_feed(&self) {
-        if self.is_comb() {
+        if self.is_control_node() {
             return;
         }
         let board = self.board.borrow();
@@ -595,7 +595,7 @@
 
     pub fn tick(self: &Rc<Self>) {
         self.look_at_links();
-        let first = self.is_comb() && self.is_first();
+        let first = self.is_control_node() && self.is_first();
         let told = self.board.borrow_mut().tick(first, self.now());
         self.spread(told, None);
         self.look_at_register();
@@ -665,7 +665,7 @@
                 "on this disk": self.register.as_ref().and_then(|r| r.filed()).map(|f| f.version)},
             "duties": [
                 {"duty": "set of disks", "epoch": board.seats().epoch, "held here": self.has_seats_duty()},
-                {"duty": "servers of lost combs", "epoch": null, "held here": self.is_comb() && self.is_first()},
+                {"duty": "servers of lost control_nodes", "epoch": null, "held here": self.is_control_node() && self.is_first()},
             ],
             "said": said, "disks": seats, "nodes": nodes, "servers": servers,
             "allotments": self.plane.as_ref().map_or(Value::Array(Vec::new()), |plane| plane.allotments()),
@@ -745,10 +745,10 @@
         };
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
-        let comb = peer.disk.is_some();
+        let control_node = peer.disk.is_some();
         self.learn(vec![News::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
-        if let Some(register) = self.register.as_ref().filter(|_| comb) {
+        if let Some(register) = self.register.as_ref().filter(|_| control_node) {
             self.ask(register.look(true));
         }
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -11,8 +11,8 @@
 
 const WORDS: &str = "ashvane-node: a search front over sharded indexes
 
-    ashvane-node forager     take clients' requests and gather their answers
-    ashvane-node comb        keep the configuration, hear servers and operators
+    ashvane-node gateway     take clients' requests and gather their answers
+    ashvane-node control     keep the configuration, hear servers and operators
     ashvane-node check FILE  ok, or all faults of a settings file or a configuration (.json)
     ashvane-node get         the configuration that a majority of the disks holds
     ashvane-node put FILE    send a configuration, checked here first
@@ -20,7 +20,7 @@
     ashvane-node version
 
 The settings file is named by ASHVANE_CONFIG or --settings. get, put and show call the control address that
---at names (or a forager's readiness address, for show); it may be given several times: the next one is called
+--at names (or a gateway's readiness address, for show); it may be given several times: the next one is called
 where one does not answer.";
 
 fn settings_file(stated: Option<String>) -> Result<String, StartError> {
@@ -67,8 +67,8 @@
     let level = matches.opt_str("log").unwrap_or_else(|| "info".to_owned());
     let level: Level = level.parse().map_err(|()| usage(format!("{level} is no level")))?;
     let role = match matches.free.first().map(String::as_str) {
-        Some("forager") => Role::Forager,
-        Some("comb") => Role::Comb,
+        Some("gateway") => Role::Gateway,
+        Some("control") => Role::Control,
         Some("check") => return check(matches.free.get(1)),
         Some("get") => return print(client::get(&addresses(&matches)?)?),
         Some("put") => {
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -37,9 +37,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     /// Takes clients' requests and gathers their answers.
-    Forager,
+    Gateway,
     /// Keeps the configuration on its disk and hears servers and operators.
-    Comb,
+    Control,
 }
 
 struct Plain;
@@ -181,8 +181,8 @@
             Some((Register::new(cell, disk, life), name))
         }
     };
-    if role == Role::Comb && register.is_none() {
-        return Err(StartError::Usage { why: "a comb needs data-dir in its settings".to_owned() });
+    if role == Role::Control && register.is_none() {
+        return Err(StartError::Usage { why: "a control_node needs data-dir in its settings".to_owned() });
     }
     let (register, disk) = register.unzip();
     let me = node(&settings, life, address.to_string(), disk);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -130,12 +130,12 @@
 impl Hall {
     /// A system of one machine, which starts on an empty disk.
     pub fn start(name: &str) -> Hall {
-        Hall::place(name, Role::Comb, None)
+        Hall::place(name, Role::Control, None)
     }
 
-    /// A forager that takes control calls too, beside the comb of another one.
-    pub fn forager(name: &str, beside: &Hall) -> Hall {
-        Hall::place(name, Role::Forager, Some(beside.control))
+    /// A gateway that takes control calls too, beside the control_node of another one.
+    pub fn gateway(name: &str, beside: &Hall) -> Hall {
+        Hall::place(name, Role::Gateway, Some(beside.control))
     }
 
     fn place(name: &str, role: Role, beside: Option<SocketAddr>) -> Hall {
--- a/crates/node/tests/curves.rs
+++ b/crates/node/tests/curves.rs
@@ -18,8 +18,8 @@
 const LOOK: Duration = ms(10);
 
 struct Size {
-    foragers: usize,
-    combs: usize,
+    gateways: usize,
+    control_nodes: usize,
     servers: usize,
 }
 
@@ -35,9 +35,9 @@
     }
 }
 
-fn said(meadow: &Meadow, comb: bool) -> BTreeMap<&'static str, (u64, u64)> {
+fn said(meadow: &Meadow, control_node: bool) -> BTreeMap<&'static str, (u64, u64)> {
     let mut all: BTreeMap<&'static str, (u64, u64)> = BTreeMap::new();
-    for machine in meadow.all().iter().filter(|m| m.is_comb() == comb) {
+    for machine in meadow.all().iter().filter(|m| m.is_control_node() == control_node) {
         for (cause, (lines, bytes)) in machine.hive().map(|hive| hive.said()).unwrap_or_default() {
             let sum = all.entry(cause).or_default();
             (sum.0, sum.1) = (sum.0 + lines, sum.1 + bytes);
@@ -65,14 +65,14 @@
 
 async fn play_size(size: Size) {
     fastrand::seed(1);
-    let losses = if size.combs > 5 { 2 } else { 1 };
-    let meadow = Meadow::new(size.combs, size.foragers, losses);
+    let losses = if size.control_nodes > 5 { 2 } else { 1 };
+    let meadow = Meadow::new(size.control_nodes, size.gateways, losses);
     sleep(ms(8000)).await;
-    let (combs, all) = (meadow.combs(), meadow.all());
-    let foragers: Vec<_> = all.iter().filter(|m| !m.is_comb()).cloned().collect();
-    // Each comb hears its part of the servers, each second.
-    for (at, comb) in combs.iter().enumerate() {
-        let (servers, step) = (size.servers, combs.len());
+    let (control_nodes, all) = (meadow.control_nodes(), meadow.all());
+    let gateways: Vec<_> = all.iter().filter(|m| !m.is_control_node()).cloned().collect();
+    // Each control_node hears its part of the servers, each second.
+    for (at, control_node) in control_nodes.iter().enumerate() {
+        let (servers, step) = (size.servers, control_nodes.len());
         let hears = move |hive: Rc<ashvane_node::hive::Hive>| async move {
             for seq in 1.. {
                 for n in (at..servers).step_by(step) {
@@ -82,38 +82,38 @@
             }
         };
         tokio::task::spawn_local({
-            let comb = comb.clone();
-            async move { comb.ask(Duration::from_secs(3600), hears).await }
+            let control_node = control_node.clone();
+            async move { control_node.ask(Duration::from_secs(3600), hears).await }
         });
     }
     let last = format!("i-{}", size.servers - 1);
-    let (all_servers, _) = known(&foragers, |m| m.hive().is_some_and(|h| h.offers_work_to(&last))).await;
+    let (all_servers, _) = known(&gateways, |m| m.hive().is_some_and(|h| h.offers_work_to(&last))).await;
     sleep(ms(10_000)).await;
     let before = (said(&meadow, true), said(&meadow, false));
     sleep(ms(10_000)).await;
     let calm = (said(&meadow, true), said(&meadow, false));
     let text = configuration(7, 0);
     let put = |hive: Rc<ashvane_node::hive::Hive>| async move { hive.put(text.as_bytes()).await };
-    assert!(matches!(combs[0].ask(PATIENCE, put).await, Some(Put::Held(7))));
+    assert!(matches!(control_nodes[0].ask(PATIENCE, put).await, Some(Put::Held(7))));
     let version = |m: &Machine| m.hive().and_then(|h| h.config()).is_some_and(|c| c.version == 7);
-    let config = known(&foragers, version).await;
+    let config = known(&gateways, version).await;
     let mut drains = Vec::new();
     for n in 0..5 {
-        let (comb, id) = (&combs[n % combs.len()], format!("i-{n}"));
+        let (control_node, id) = (&control_nodes[n % control_nodes.len()], format!("i-{n}"));
         let leaves = move |hive: Rc<ashvane_node::hive::Hive>| async move {
             hive.beat(beat(n, State::Draining, 1_000_000)).await
         };
-        assert_eq!(comb.ask(PATIENCE, leaves).await, Some(true), "acknowledged");
-        drains.push(known(&foragers, |m| m.hive().is_some_and(|h| !h.offers_work_to(&id))).await);
+        assert_eq!(control_node.ask(PATIENCE, leaves).await, Some(true), "acknowledged");
+        drains.push(known(&gateways, |m| m.hive().is_some_and(|h| !h.offers_work_to(&id))).await);
     }
     let drain = (drains.iter().map(|d| d.0).max(), drains.iter().map(|d| d.1).max());
     println!(
-        "{} foragers, {} combs, {} servers: all servers known after {all_servers} ms; configuration {config:?} ms, drain \
-         {drain:?} ms (middle and last forager)",
-        size.foragers, size.combs, size.servers
+        "{} gateways, {} control_nodes, {} servers: all servers known after {all_servers} ms; configuration {config:?} ms, drain \
+         {drain:?} ms (middle and last gateway)",
+        size.gateways, size.control_nodes, size.servers
     );
     for (role, before, after, n) in
-        [("comb", &before.0, &calm.0, size.combs), ("forager", &before.1, &calm.1, size.foragers)]
+        [("control", &before.0, &calm.0, size.control_nodes), ("gateway", &before.1, &calm.1, size.gateways)]
     {
         let each = |cause: &&'static str| {
             let (lines, bytes) = after[cause];
@@ -141,7 +141,7 @@
         ],
     };
     for size in sizes {
-        let [foragers, combs, servers] = size[..] else { panic!("three numbers") };
-        play(play_size(Size { foragers, combs, servers }));
+        let [gateways, control_nodes, servers] = size[..] else { panic!("three numbers") };
+        play(play_size(Size { gateways, control_nodes, servers }));
     }
 }
--- a/crates/node/tests/meadow/mod.rs
+++ b/crates/node/tests/meadow/mod.rs
@@ -194,7 +194,7 @@
         self.hive.borrow().clone()
     }
 
-    pub fn is_comb(&self) -> bool {
+    pub fn is_control_node(&self) -> bool {
         self.platter.is_some() && !self.gone.get()
     }
 
@@ -235,9 +235,9 @@
         }
         self.life.set(self.life.get() + 1);
         let (jobs, todo) = mpsc::unbounded_channel();
-        let comb = self.platter.is_some();
-        let disk = if comb { "data-dir = \"-\"\n" } else { "" };
-        let listen = if comb {
+        let control_node = self.platter.is_some();
+        let disk = if control_node { "data-dir = \"-\"\n" } else { "" };
+        let listen = if control_node {
             format!("control = \"{}:8047\"", self.ip)
         } else {
             format!("front = \"{}:8043\"", self.ip)
@@ -365,7 +365,7 @@
 }
 
 impl Meadow {
-    pub fn new(combs: usize, foragers: usize, losses: usize) -> Rc<Self> {
+    pub fn new(control_nodes: usize, gateways: usize, losses: usize) -> Rc<Self> {
         let air = Rc::new(Air::default());
         let carrying = air.clone();
         spawn_local(std::future::poll_fn(move |cx| {
@@ -374,21 +374,21 @@
             Poll::<()>::Pending
         }));
         let seeds: Vec<String> = (1..=3).map(|n| format!("10.0.0.{n}:8047")).collect();
-        let machine = |n: usize| match n < combs {
-            true => Machine::new(format!("comb-{n}"), n + 1, true, seeds.clone(), losses),
-            false => Machine::new(format!("forager-{n}"), n + 1, false, seeds.clone(), losses),
+        let machine = |n: usize| match n < control_nodes {
+            true => Machine::new(format!("control-{n}"), n + 1, true, seeds.clone(), losses),
+            false => Machine::new(format!("gateway-{n}"), n + 1, false, seeds.clone(), losses),
         };
-        let machines: Vec<_> = (0..combs + foragers).map(machine).collect();
+        let machines: Vec<_> = (0..control_nodes + gateways).map(machine).collect();
         machines.iter().for_each(|m| m.start(&air, true));
         Rc::new(Meadow { air, machines: RefCell::new(machines) })
     }
 
     /// A new machine of the core, at an address of its own and with an empty disk.
-    pub fn add_comb(&self) -> Rc<Machine> {
+    pub fn add_control_node(&self) -> Rc<Machine> {
         let number = self.machines.borrow().len() + 1;
-        let seeds = self.combs().iter().take(3).map(|m| format!("{}:8047", m.ip)).collect();
+        let seeds = self.control_nodes().iter().take(3).map(|m| format!("{}:8047", m.ip)).collect();
         let losses = self.machines.borrow()[0].losses;
-        let new = Machine::new(format!("comb-{number}"), number, true, seeds, losses);
+        let new = Machine::new(format!("control-{number}"), number, true, seeds, losses);
         self.machines.borrow_mut().push(new.clone());
         new
     }
@@ -397,8 +397,8 @@
         self.machines.borrow().iter().filter(|m| !m.gone.get()).cloned().collect()
     }
 
-    pub fn combs(&self) -> Vec<Rc<Machine>> {
-        self.all().into_iter().filter(|m| m.is_comb()).collect()
+    pub fn control_nodes(&self) -> Vec<Rc<Machine>> {
+        self.all().into_iter().filter(|m| m.is_control_node()).collect()
     }
 }
 
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -188,27 +188,27 @@
 #[test]
 fn a_process_without_a_disk_sends_control_calls_on_and_serves_what_it_learns() {
     run(async {
-        let comb = Hall::start("with-a-disk");
-        let forager = Hall::forager("without-a-disk", &comb);
+        let control_node = Hall::start("with-a-disk");
+        let gateway = Hall::gateway("without-a-disk", &control_node);
         let s = server("i-1", "s", well("a")).await;
-        comb.beat(&s, "ready", 1).await;
-        comb.configure(3, &route("r", "idempotent", r#""service":"s""#), &["s"]).await;
-        forager.ready().await;
-        let got = ask(forager.control, "GET /api/configuration HTTP/1.1\r\nHost: c\r\n\r\n")
+        control_node.beat(&s, "ready", 1).await;
+        control_node.configure(3, &route("r", "idempotent", r#""service":"s""#), &["s"]).await;
+        gateway.ready().await;
+        let got = ask(gateway.control, "GET /api/configuration HTTP/1.1\r\nHost: c\r\n\r\n")
             .await
             .expect("an answer");
-        let location = format!("http://{}/api/configuration", comb.control);
+        let location = format!("http://{}/api/configuration", control_node.control);
         assert_eq!((got.status(), got.header("location")), (307, location.as_str()));
-        assert_eq!(forager.get("/r/x", "1").await.header("server-seal"), "a");
-        // What changes at the comb reaches it: a route that is gone.
-        comb.configure(4, "", &["s"]).await;
+        assert_eq!(gateway.get("/r/x", "1").await.header("server-seal"), "a");
+        // What changes at the control_node reaches it: a route that is gone.
+        control_node.configure(4, "", &["s"]).await;
         let gone = "GET /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 2\r\n\r\n";
-        forager.until(forager.front, gone, 404).await;
+        gateway.until(gateway.front, gone, 404).await;
         // And a server that leaves is not asked, once that is acknowledged and known.
-        comb.configure(5, &route("r", "idempotent", r#""service":"s""#), &["s"]).await;
-        comb.beat(&s, "draining", 2).await;
+        control_node.configure(5, &route("r", "idempotent", r#""service":"s""#), &["s"]).await;
+        control_node.beat(&s, "draining", 2).await;
         let again = "GET /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 3\r\n\r\n";
-        forager.until(forager.front, again, 503).await;
+        gateway.until(gateway.front, again, 503).await;
     });
 }
 
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -47,14 +47,14 @@
     }
 }
 
-/// Calls one comb after another, as operators and servers do, until one has said yes.
+/// Calls one control_node after another, as operators and servers do, until one has said yes.
 async fn until_taken<F>(meadow: &Meadow, mut rng: fastrand::Rng, job: impl Fn(Rc<Machine>) -> F) -> bool
 where
     F: Future<Output = bool>,
 {
     for n in 0..40 {
-        let combs = meadow.combs();
-        let at = combs[rng.usize(..combs.len())].clone();
+        let control_nodes = meadow.control_nodes();
+        let at = control_nodes[rng.usize(..control_nodes.len())].clone();
         if job(at).await {
             return true;
         }
@@ -92,10 +92,10 @@
     fn new(seed: u64) -> Self {
         fastrand::seed(seed);
         // The small sites' core, or the grown ones'.
-        let (combs, losses) = if seed % 4 == 3 { (9, 2) } else { (5, 1) };
+        let (control_nodes, losses) = if seed % 4 == 3 { (9, 2) } else { (5, 1) };
         World {
             rng: fastrand::Rng::with_seed(seed),
-            meadow: Meadow::new(combs, 6, losses),
+            meadow: Meadow::new(control_nodes, 6, losses),
             losses,
             strike: Rc::default(),
             struck: Rc::default(),
@@ -143,8 +143,8 @@
     fn put_invalid(&mut self) {
         let bad =
             configuration(self.version + 1_000_000, 0).replace("\"service\":\"s\"", "\"service\":\"t\"");
-        let combs = self.meadow.combs();
-        let at = combs[self.rng.usize(..combs.len())].clone();
+        let control_nodes = self.meadow.control_nodes();
+        let at = control_nodes[self.rng.usize(..control_nodes.len())].clone();
         spawn_local(async move {
             let put = async move |hive: Rc<ashvane_node::hive::Hive>| hive.put(bad.as_bytes()).await;
             let got = at.ask(PATIENCE, put).await;
@@ -196,67 +196,67 @@
 
     /// One trouble of the core, or of the others beside it.
     fn trouble(&mut self) {
-        let combs = self.meadow.combs();
-        let comb = combs[self.rng.usize(..combs.len())].clone();
+        let control_nodes = self.meadow.control_nodes();
+        let control_node = control_nodes[self.rng.usize(..control_nodes.len())].clone();
         let all = self.meadow.all();
-        let foragers: Vec<_> = all.iter().filter(|m| !m.is_comb()).cloned().collect();
+        let gateways: Vec<_> = all.iter().filter(|m| !m.is_control_node()).cloned().collect();
         let (now, lasts) = (Instant::now(), self.rng.u64(200..4000));
         let what = self.rng.usize(..14);
-        say(&format!("TROUBLE {what} at {} for {lasts} ms", comb.name));
+        say(&format!("TROUBLE {what} at {} for {lasts} ms", control_node.name));
         if what < 11 {
             self.settled = None;
         }
         match what {
-            0 => self.down(&comb, lasts),
+            0 => self.down(&control_node, lasts),
             // Its disk is wiped with it.
             1 => {
-                comb.wipe();
-                self.down(&comb, lasts);
+                control_node.wipe();
+                self.down(&control_node, lasts);
             }
             2 => {
-                comb.kill(&self.meadow.air);
-                comb.gone.set(true);
-                let new = self.meadow.add_comb();
+                control_node.kill(&self.meadow.air);
+                control_node.gone.set(true);
+                let new = self.meadow.add_control_node();
                 new.well_since.set(None);
                 self.heals.push((now + ms(lasts), Heal::Start(new)));
             }
             3 => {
-                comb.freeze(true);
-                comb.well_since.set(None);
-                self.heals.push((now + ms(lasts), Heal::Thaw(comb)));
+                control_node.freeze(true);
+                control_node.well_since.set(None);
+                self.heals.push((now + ms(lasts), Heal::Thaw(control_node)));
             }
             4 => {
-                comb.well_since.set(None);
+                control_node.well_since.set(None);
                 match self.rng.usize(..3) {
-                    0 => self.meadow.air.deafen(&comb.ip),
-                    1 => self.meadow.air.break_all(&comb.ip),
-                    _ => self.meadow.air.cut([comb.ip.clone()]),
+                    0 => self.meadow.air.deafen(&control_node.ip),
+                    1 => self.meadow.air.break_all(&control_node.ip),
+                    _ => self.meadow.air.cut([control_node.ip.clone()]),
                 }
                 self.heals.push((now + ms(lasts), Heal::Join));
             }
             // Two of the core and half of the others: the smaller side must not decide.
             5 => {
-                let far = combs[..2].iter().chain(&foragers[..3]);
+                let far = control_nodes[..2].iter().chain(&gateways[..3]);
                 far.clone().for_each(|m| m.well_since.set(None));
                 self.meadow.air.cut(far.map(|m| m.ip.clone()));
                 self.heals.push((now + ms(lasts), Heal::Join));
             }
             6 => {
-                let platter = comb.platter.as_ref().expect("a disk");
+                let platter = control_node.platter.as_ref().expect("a disk");
                 platter.sync.set(ms(lasts));
-                comb.well_since.set(None);
-                self.heals.push((now + ms(lasts), Heal::Sync(comb.clone())));
+                control_node.well_since.set(None);
+                self.heals.push((now + ms(lasts), Heal::Sync(control_node.clone())));
             }
             // All at once: the core's processes, or the whole system.
             7 => {
-                let struck = if self.rng.bool() { combs } else { all };
+                let struck = if self.rng.bool() { control_nodes } else { all };
                 let back = self.rng.u64(100..900);
                 struck.iter().for_each(|m| self.down(m, back));
             }
             // As many disks as may be lost, while all others lose power.
             8 => {
                 let back = self.rng.u64(100..900);
-                let mut wiped = combs.clone();
+                let mut wiped = control_nodes.clone();
                 self.rng.shuffle(&mut wiped);
                 wiped.iter().take(self.losses).for_each(|m| m.wipe());
                 all.iter().for_each(|m| self.down(m, back));
@@ -264,7 +264,7 @@
             9 => self.strike.set(Some(self.rng.bool())),
             // As many as may be lost, not quite at once, each in its own way.
             10 => {
-                let mut lost = combs.clone();
+                let mut lost = control_nodes.clone();
                 self.rng.shuffle(&mut lost);
                 for machine in lost.iter().take(self.losses) {
                     let lasts = self.rng.u64(200..4000);
@@ -275,17 +275,17 @@
                 }
             }
             _ => {
-                let forager = foragers[self.rng.usize(..foragers.len())].clone();
+                let gateway = gateways[self.rng.usize(..gateways.len())].clone();
                 match self.rng.usize(..3) {
-                    0 => self.down(&forager, lasts),
+                    0 => self.down(&gateway, lasts),
                     1 => {
-                        forager.freeze(true);
-                        forager.well_since.set(None);
-                        self.heals.push((now + ms(lasts), Heal::Thaw(forager)));
+                        gateway.freeze(true);
+                        gateway.well_since.set(None);
+                        self.heals.push((now + ms(lasts), Heal::Thaw(gateway)));
                     }
                     _ => {
-                        forager.well_since.set(None);
-                        self.meadow.air.cut([forager.ip.clone()]);
+                        gateway.well_since.set(None);
+                        self.meadow.air.cut([gateway.ip.clone()]);
                         self.heals.push((now + ms(lasts), Heal::Join));
                     }
                 }
@@ -365,7 +365,7 @@
     /// In the end all is well: what was acknowledged is there, and all know the same.
     async fn read_back(&mut self) {
         let newest = self.told.borrow().held.iter().map(|(version, _)| *version).max().unwrap_or(0);
-        for machine in self.meadow.combs() {
+        for machine in self.meadow.control_nodes() {
             let read = async |hive: Rc<ashvane_node::hive::Hive>| hive.newest().await;
             let found = machine.ask(ACK, read).await.flatten().flatten();
             let found = found.unwrap_or_else(|| panic!("{} cannot read the register", machine.name));
