--- a/crates/gossip/tests/news.rs
+++ b/crates/gossip/tests/news.rs
@@ -269,7 +269,10 @@
             let control_nodes: Vec<&Node> =
                 nodes.iter().filter(|n| mine.contains(&n.name) && n.disk.is_some()).collect();
             let zones: BTreeSet<&String> = control_nodes.iter().map(|n| &n.zone).collect();
-            assert!(control_nodes.len() == 3 && zones.len() == 3, "one more than may be lost, of several zones");
+            assert!(
+                control_nodes.len() == 3 && zones.len() == 3,
+                "one more than may be lost, of several zones"
+            );
         }
         moved += mine.symmetric_difference(&of(me, &without)).filter(|n| *n != "n17").count();
         called.extend(mine);
--- a/crates/node/src/hive.rs
+++ b/crates/node/src/agent.rs
@@ -5,17 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_quorum::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
 use ashvane_gossip::{Beat, Board, Digest, News, Node, Server, State, partners};
+use ashvane_quorum::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::config::Config;
-use crate::links::{Line, Link, Links, Listener, Net, dial};
+use crate::data_plane::DataPlane;
+use crate::links::{Link, Links, Listener, Message, Net, dial};
 use crate::packed;
-use crate::plane::Plane;
 use crate::register::{Asks, Register};
 use crate::settings::Settings;
 
@@ -44,7 +44,7 @@
     done: Option<oneshot::Sender<()>>,
 }
 
-pub struct Hive {
+pub struct Agent {
     pub settings: Settings,
     pub log: Logger,
     started: Instant,
@@ -56,7 +56,7 @@
     config: RefCell<Option<Rc<Config>>>,
     in_force_since: Cell<Option<Instant>>,
     register: Option<Rc<Register>>,
-    plane: Option<Rc<Plane>>,
+    plane: Option<Rc<DataPlane>>,
     net: Rc<dyn Net>,
     confirms: RefCell<BTreeMap<u64, Confirm>>,
     numbers: Cell<u64>,
@@ -92,10 +92,10 @@
     Unclear,
 }
 
-impl Hive {
+impl Agent {
     pub fn new(
-        settings: Settings, me: Node, register: Option<Register>, plane: Option<Rc<Plane>>, net: Rc<dyn Net>,
-        log: Logger,
+        settings: Settings, me: Node, register: Option<Register>, plane: Option<Rc<DataPlane>>,
+        net: Rc<dyn Net>, log: Logger,
     ) -> Rc<Self> {
         let started = Instant::now();
         let mut board = Board::new(me, settings.beat_every, Duration::ZERO);
@@ -105,7 +105,7 @@
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
         let (filed, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
-        let hive = Hive {
+        let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
             log,
@@ -136,7 +136,7 @@
             changing: Cell::new(false),
             leaving: Cell::new(false),
         };
-        Rc::new(hive)
+        Rc::new(agent)
     }
 
     fn now(&self) -> Duration {
@@ -194,7 +194,7 @@
         };
         let numbers: Vec<u64> =
             links.iter().filter(|(n, l)| Some(*n) != from && told(*n, l)).map(|(n, _)| n).collect();
-        links.send_all(&numbers, &Line::News { number: 0, news });
+        links.send_all(&numbers, &Message::News { number: 0, news });
     }
 
     /// Hands what changed to the data plane.
@@ -215,7 +215,7 @@
     }
 
     fn compare(&self, links: &mut Links, numbers: &[u64]) {
-        links.send_all(numbers, &Line::Digest(self.digest()));
+        links.send_all(numbers, &Message::Digest(self.digest()));
     }
 
     /// A configuration that a majority of disks holds: from here on it is in force here.
@@ -272,7 +272,7 @@
         let new_here = control_node && !self.synced.get();
         if new_here || (link.differs >= DIFFERS && board.me().name < link.peer.name) {
             link.differs = 0;
-            links.send(number, &Line::Buckets(board.buckets()));
+            links.send(number, &Message::Buckets(board.buckets()));
         }
     }
 
@@ -287,7 +287,7 @@
         if version > self.version() && !asked {
             self.foretold.set(false);
             self.wanted.set(Some((version, now)));
-            self.links.borrow_mut().send(from, &Line::Want { above: self.version() });
+            self.links.borrow_mut().send(from, &Message::Want { above: self.version() });
         }
     }
 
@@ -324,7 +324,7 @@
             let mut links = self.links.borrow_mut();
             let control_nodes: Vec<u64> =
                 links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(number, _)| number).collect();
-            links.send_all(&control_nodes, &Line::News { number, news: vec![News::Server(server)] });
+            links.send_all(&control_nodes, &Message::News { number, news: vec![News::Server(server)] });
         }
         let confirmed = tokio::time::timeout(CONFIRMED, confirmed).await;
         self.confirms.borrow_mut().remove(&number);
@@ -357,17 +357,17 @@
         let Some(register) = &self.register else { return };
         for (seat, number, ask) in asks {
             if seat.address == self.board.borrow().me().address {
-                let (hive, own) = (self.clone(), register.ask_own(&ask));
+                let (agent, own) = (self.clone(), register.ask_own(&ask));
                 tokio::task::spawn_local(async move {
                     if let Some(told) = own.await {
-                        hive.told(number, told);
+                        agent.told(number, told);
                     }
                 });
                 continue;
             }
             let mut links = self.links.borrow_mut();
             if let Some(link) = links.at(&seat.address) {
-                links.send(link, &Line::Ask { number, ask });
+                links.send(link, &Message::Ask { number, ask });
             }
         }
     }
@@ -431,10 +431,10 @@
         self.ask(register.look(false));
         let ahead = register.filed().map_or(0, |f| f.version) > self.version();
         if (!self.read.get() || ahead) && !self.reading.replace(true) {
-            let hive = self.clone();
+            let agent = self.clone();
             tokio::task::spawn_local(async move {
-                hive.newest().await;
-                hive.reading.set(false);
+                agent.newest().await;
+                agent.reading.set(false);
             });
         }
     }
@@ -452,7 +452,8 @@
         let control_nodes: Vec<&Node> = board.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
         let seated = |n: &&&Node| n.disk.as_ref().is_some_and(|d| board.seats().has(d));
         let first = control_nodes.iter().map(|n| &n.name).min();
-        first == Some(&board.me().name) && control_nodes.iter().filter(seated).count() >= board.seats().majority()
+        first == Some(&board.me().name)
+            && control_nodes.iter().filter(seated).count() >= board.seats().majority()
     }
 
     /// The disks that live, as seen from here.
@@ -478,13 +479,13 @@
         let seats = self.board.borrow().seats().clone();
         let (asks, outcome) = register.change(seats, next);
         self.ask(asks);
-        let hive = self.clone();
+        let agent = self.clone();
         tokio::task::spawn_local(async move {
             if let Ok(Outcome::Seated(seats)) = outcome.await {
-                info!(hive.log, "the set of disks has changed"; "epoch" => seats.epoch);
-                hive.learn(vec![News::Seats(seats)], None);
+                info!(agent.log, "the set of disks has changed"; "epoch" => seats.epoch);
+                agent.learn(vec![News::Seats(seats)], None);
             }
-            hive.changing.set(false);
+            agent.changing.set(false);
         });
     }
 
@@ -497,10 +498,10 @@
             return;
         }
         dialled.insert(address.clone(), now);
-        let hive = self.clone();
+        let agent = self.clone();
         tokio::task::spawn_local(async move {
-            if !dial(address.clone(), hive.clone()).await {
-                hive.unreached.borrow_mut().insert(address, Instant::now() + UNREACHED);
+            if !dial(address.clone(), agent.clone()).await {
+                agent.unreached.borrow_mut().insert(address, Instant::now() + UNREACHED);
             }
         });
     }
@@ -569,11 +570,11 @@
         let before = self.feed.replace(feed);
         if before != feed {
             if let Some(before) = before {
-                links.send(before, &Line::Feed(false));
+                links.send(before, &Message::Feed(false));
             }
             if let Some(feed) = feed {
-                links.send(feed, &Line::Feed(true));
-                links.send(feed, &Line::Buckets(board.buckets()));
+                links.send(feed, &Message::Feed(true));
+                links.send(feed, &Message::Buckets(board.buckets()));
             }
         }
     }
@@ -713,7 +714,7 @@
     }
 }
 
-impl Listener for Hive {
+impl Listener for Agent {
     fn me(&self) -> Node {
         self.board.borrow().me().clone()
     }
@@ -753,33 +754,33 @@
         }
     }
 
-    fn heard(self: &Rc<Self>, number: u64, line: Line) {
+    fn heard(self: &Rc<Self>, number: u64, line: Message) {
         match line {
-            Line::Hello(_) | Line::Packed(_) => {}
-            Line::News { number: asked, news } => {
+            Message::Hello(_) | Message::Packed(_) => {}
+            Message::News { number: asked, news } => {
                 self.learn(news, Some(number));
                 if asked > 0 {
-                    self.links.borrow_mut().send(number, &Line::Got { number: asked });
+                    self.links.borrow_mut().send(number, &Message::Got { number: asked });
                 }
             }
-            Line::Got { number: asked } => self.confirmed(asked, number),
-            Line::Digest(digest) => self.compared_with(number, digest),
-            Line::Feed(fed) => {
+            Message::Got { number: asked } => self.confirmed(asked, number),
+            Message::Digest(digest) => self.compared_with(number, digest),
+            Message::Feed(fed) => {
                 if let Some(link) = self.links.borrow_mut().get_mut(number) {
                     link.fed = fed;
                 }
             }
-            Line::Buckets(buckets) => {
+            Message::Buckets(buckets) => {
                 let summary = {
                     let board = self.board.borrow();
                     let parts = board.differing(&buckets);
                     (parts != 0 || buckets.epoch != board.seats().epoch).then(|| board.summary(parts))
                 };
                 if let Some(summary) = summary {
-                    self.links.borrow_mut().send(number, &Line::Summary(summary));
+                    self.links.borrow_mut().send(number, &Message::Summary(summary));
                 }
             }
-            Line::Summary(summary) => {
+            Message::Summary(summary) => {
                 let (news, behind, mine) = {
                     let board = self.board.borrow();
                     let behind = board.is_behind(&summary);
@@ -787,31 +788,31 @@
                 };
                 let mut links = self.links.borrow_mut();
                 if !news.is_empty() {
-                    links.send(number, &Line::News { number: 0, news });
+                    links.send(number, &Message::News { number: 0, news });
                 }
                 if let Some(mine) = mine {
-                    links.send(number, &Line::Summary(mine));
+                    links.send(number, &Message::Summary(mine));
                 } else if !behind && links.get_mut(number).is_some_and(|l| l.peer.disk.is_some()) {
                     self.synced.set(true);
                 }
             }
-            Line::Want { above } => {
+            Message::Want { above } => {
                 let filed = self.filed.borrow().clone().filter(|f| f.version > above);
                 if let Some(filed) = filed {
-                    self.links.borrow_mut().send(number, &Line::Config(filed));
+                    self.links.borrow_mut().send(number, &Message::Config(filed));
                 }
             }
-            Line::Config(filed) => self.config_is(filed),
-            Line::Ask { number: asked, ask } => {
+            Message::Config(filed) => self.config_is(filed),
+            Message::Ask { number: asked, ask } => {
                 let Some(register) = &self.register else { return };
-                let (hive, own) = (self.clone(), register.ask_own(&ask));
+                let (agent, own) = (self.clone(), register.ask_own(&ask));
                 tokio::task::spawn_local(async move {
                     if let Some(told) = own.await {
-                        hive.links.borrow_mut().send(number, &Line::Told { number: asked, told });
+                        agent.links.borrow_mut().send(number, &Message::Told { number: asked, told });
                     }
                 });
             }
-            Line::Told { number: asked, told } => self.told(asked, told),
+            Message::Told { number: asked, told } => self.told(asked, told),
         }
     }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,7 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::hive::{Hive, Put};
+use crate::agent::{Agent, Put};
 use crate::packed;
 use crate::reader::At;
 
@@ -168,24 +168,24 @@
     say(StatusCode::OK, "{}")
 }
 
-async fn settle(hive: Rc<Hive>, call: Call) {
+async fn settle(agent: Rc<Agent>, call: Call) {
     match call {
-        Call::Beat(beat, reply) => drop(reply.send(hive.beat(beat).await)),
-        Call::Left(id, reply) => drop(reply.send(hive.left(&id).await)),
-        Call::Where(reply) => drop(reply.send(hive.settled_at())),
-        Call::State(reply) => drop(reply.send(hive.state())),
+        Call::Beat(beat, reply) => drop(reply.send(agent.beat(beat).await)),
+        Call::Left(id, reply) => drop(reply.send(agent.left(&id).await)),
+        Call::Where(reply) => drop(reply.send(agent.settled_at())),
+        Call::State(reply) => drop(reply.send(agent.state())),
         Call::Get(reply) => {
-            let newest = hive.newest().await;
+            let newest = agent.newest().await;
             let _ = reply.send(newest.map(|filed| filed.map(|f| f.text)));
         }
         Call::Put(body, reply) => {
-            let put = hive.put(&body).await;
+            let put = agent.put(&body).await;
             match &put {
-                Put::Held(version) => info!(hive.log, "configuration taken"; "version" => version),
+                Put::Held(version) => info!(agent.log, "configuration taken"; "version" => version),
                 Put::Invalid(faults) => {
-                    warn!(hive.log, "configuration refused"; "faults" => faults.join("; "))
+                    warn!(agent.log, "configuration refused"; "faults" => faults.join("; "))
                 }
-                Put::Unclear => warn!(hive.log, "no majority of disks answers"),
+                Put::Unclear => warn!(agent.log, "no majority of disks answers"),
             }
             let _ = reply.send(put);
         }
@@ -193,12 +193,12 @@
 }
 
 /// Serves the calls that come to this listener.
-pub async fn run(listener: TcpListener, beat_target: String, hive: Rc<Hive>) {
+pub async fn run(listener: TcpListener, beat_target: String, agent: Rc<Agent>) {
     let (calls, mut coming) = mpsc::unbounded_channel();
     let router = Arc::new(Control { calls, beat_target }).router();
     let settling = async {
         while let Some(call) = coming.recv().await {
-            tokio::task::spawn_local(settle(hive.clone(), call));
+            tokio::task::spawn_local(settle(agent.clone(), call));
         }
     };
     let accepting = async {
--- a/crates/node/src/plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use ashvane::{Effect, Gatherer, Health, Host, Outcome, Settings as Start, VerticalSettings};
-use ashvane_quota::{Limit, Sharers, Tries, connections};
 use ashvane_gossip::{Board, News, Server, State};
+use ashvane_quota::{Limit, Sharers, Tries, connections};
 use axum::http::HeaderValue;
 use bytes::Bytes;
 use serde_json::{Value, json};
@@ -125,7 +125,7 @@
 /// What a vertical is to the module: routes that are alike in all of this are one.
 type Likeness = (Vec<Rc<str>>, bool, Duration, u32, u64);
 
-pub struct Plane {
+pub struct DataPlane {
     log: Logger,
     started: Instant,
     gatherer: RefCell<Gatherer<Hands>>,
@@ -149,7 +149,7 @@
     counter.set(counter.get() + 1);
 }
 
-impl Plane {
+impl DataPlane {
     pub fn new(settings: &Settings, log: Logger) -> Rc<Self> {
         let started = Instant::now();
         let zone = settings.zones.iter().position(|z| *z == settings.zone).map(|z| z as u32);
@@ -184,7 +184,7 @@
         let hands = Hands { acts: Rc::clone(&acts), shares: shares.clone() };
         let gatherer = Gatherer::new(hands, &start, Duration::ZERO).into();
         let (cells, verticals, config, queries, parts, known, pool, wakes) = Default::default();
-        let plane = Rc::new(Plane {
+        let plane = Rc::new(DataPlane {
             log,
             started,
             gatherer,
@@ -425,7 +425,7 @@
 
     // Queries.
 
-    /// Takes a query; the reply comes once it is settled. Its number is for [`Plane::left`].
+    /// Takes a query; the reply comes once it is settled. Its number is for [`DataPlane::left`].
     pub fn ask(
         self: &Rc<Self>, route: &Rc<Route>, asked: Asked, until: Instant,
     ) -> (u64, oneshot::Receiver<Reply>) {
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -11,8 +11,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use ashvane_quorum::{Filed, Kept};
 use ashvane_gossip::Server;
+use ashvane_quorum::{Filed, Kept};
 use parking_lot::{Condvar, Mutex};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -16,9 +16,9 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::agent::Agent;
 use crate::config::{Config, Limits};
-use crate::hive::Hive;
-use crate::plane::{Plane, Reply};
+use crate::data_plane::{DataPlane, Reply};
 use crate::pool::{ATTEMPT_ID, Asked, drop_hop_headers};
 
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
@@ -97,7 +97,7 @@
 
 /// Tells the data plane where a client leaves before its answer.
 struct Waiting {
-    plane: Rc<Plane>,
+    plane: Rc<DataPlane>,
     query: Option<u64>,
     door: Rc<Door>,
 }
@@ -125,7 +125,7 @@
 }
 
 async fn answer(
-    request: Request<Incoming>, config: Option<Rc<Config>>, plane: &Rc<Plane>, door: &Rc<Door>,
+    request: Request<Incoming>, config: Option<Rc<Config>>, plane: &Rc<DataPlane>, door: &Rc<Door>,
 ) -> Answer {
     let came = Instant::now();
     let Some(config) = config else { return reject(Some(BACK_AFTER)) };
@@ -160,17 +160,17 @@
     encode(reply)
 }
 
-async fn serve(stream: TcpStream, hive: Rc<Hive>, plane: Rc<Plane>, door: Rc<Door>) {
+async fn serve(stream: TcpStream, agent: Rc<Agent>, plane: Rc<DataPlane>, door: Rc<Door>) {
     let number = door.next.get();
     door.next.set(number + 1);
     let end = Rc::new(Notify::new());
     door.open.borrow_mut().insert(number, end.clone());
-    let limits = hive.config().map_or(Limits::default(), |c| c.limits);
+    let limits = agent.config().map_or(Limits::default(), |c| c.limits);
     let service = service_fn(|request| {
-        let (hive, plane, door) = (hive.clone(), plane.clone(), door.clone());
+        let (agent, plane, door) = (agent.clone(), plane.clone(), door.clone());
         async move {
-            let mut answer = answer(request, hive.config(), &plane, &door).await;
-            if hive.is_leaving() {
+            let mut answer = answer(request, agent.config(), &plane, &door).await;
+            if agent.is_leaving() {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer)
@@ -193,12 +193,12 @@
 }
 
 /// Serves clients.
-pub async fn run(listener: TcpListener, hive: Rc<Hive>, plane: Rc<Plane>, door: Rc<Door>) {
+pub async fn run(listener: TcpListener, agent: Rc<Agent>, plane: Rc<DataPlane>, door: Rc<Door>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                tokio::task::spawn_local(serve(stream, hive.clone(), plane.clone(), door.clone()));
+                tokio::task::spawn_local(serve(stream, agent.clone(), plane.clone(), door.clone()));
             }
             Err(_) => sleep(ACCEPT_AGAIN).await,
         }
@@ -206,21 +206,21 @@
 }
 
 /// Answers whether this gatherer takes clients.
-pub async fn tell_readiness(listener: TcpListener, hive: Rc<Hive>) {
+pub async fn tell_readiness(listener: TcpListener, agent: Rc<Agent>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_AGAIN).await;
             continue;
         };
-        let hive = hive.clone();
+        let agent = agent.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let hive = hive.clone();
+                let agent = agent.clone();
                 async move {
                     Ok::<_, Infallible>(match request.uri().path() {
-                        "/api/readiness" if hive.is_ready() => say(StatusCode::OK, "ready\n"),
+                        "/api/readiness" if agent.is_ready() => say(StatusCode::OK, "ready\n"),
                         "/api/readiness" => say(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-                        "/api/state" => Response::new(Full::new(hive.state().to_string().into())),
+                        "/api/state" => Response::new(Full::new(agent.state().to_string().into())),
                         _ => say(StatusCode::NOT_FOUND, "no such call\n"),
                     })
                 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_quorum::{Ask, Filed, Told};
 use ashvane_gossip::{Buckets, Digest, News, Node, Summary};
+use ashvane_quorum::{Ask, Filed, Told};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
 use tokio::net::TcpStream;
@@ -29,7 +29,7 @@
 /// What processes say to one another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Line {
+pub enum Message {
     /// The first line both ways.
     Hello(Node),
     /// Newer entries; where numbered, an answer is wanted once they are taken in.
@@ -63,17 +63,17 @@
     Packed(String),
 }
 
-impl Line {
+impl Message {
     /// What it is about, for counting.
     pub fn cause(&self) -> &'static str {
         match self {
-            Line::Hello(_) | Line::Feed(_) => "links",
-            Line::News { .. } | Line::Got { .. } => "news",
-            Line::Digest(_) => "digests",
-            Line::Buckets(_) | Line::Summary(_) => "gaps",
-            Line::Want { .. } | Line::Config(_) => "configuration",
-            Line::Ask { .. } | Line::Told { .. } => "register",
-            Line::Packed(_) => "packed",
+            Message::Hello(_) | Message::Feed(_) => "links",
+            Message::News { .. } | Message::Got { .. } => "news",
+            Message::Digest(_) => "digests",
+            Message::Buckets(_) | Message::Summary(_) => "gaps",
+            Message::Want { .. } | Message::Config(_) => "configuration",
+            Message::Ask { .. } | Message::Told { .. } => "register",
+            Message::Packed(_) => "packed",
         }
     }
 }
@@ -82,19 +82,19 @@
 const PACKED_FROM: usize = 1200;
 
 /// A line as it is written.
-fn written(line: &Line) -> Option<Rc<str>> {
+fn written(line: &Message) -> Option<Rc<str>> {
     let mut text = serde_json::to_string(line).ok()?;
     // A configuration is packed already.
-    if text.len() > PACKED_FROM && !matches!(line, Line::Config(_)) {
-        text = serde_json::to_string(&Line::Packed(packed::pack(text.as_bytes()))).ok()?;
+    if text.len() > PACKED_FROM && !matches!(line, Message::Config(_)) {
+        text = serde_json::to_string(&Message::Packed(packed::pack(text.as_bytes()))).ok()?;
     }
     Some((text + "\n").into())
 }
 
 /// A line as it was meant; none where it cannot be read.
-fn meant(bytes: &[u8]) -> Option<Line> {
+fn meant(bytes: &[u8]) -> Option<Message> {
     match serde_json::from_slice(bytes).ok()? {
-        Line::Packed(text) => serde_json::from_slice(&packed::unpack(&text)?).ok(),
+        Message::Packed(text) => serde_json::from_slice(&packed::unpack(&text)?).ok(),
         line => Some(line),
     }
 }
@@ -169,7 +169,7 @@
         self.links.remove(&number)
     }
 
-    pub fn send(&mut self, number: u64, line: &Line) {
+    pub fn send(&mut self, number: u64, line: &Message) {
         self.send_all(&[number], line);
     }
 
@@ -183,7 +183,7 @@
     }
 
     /// The same to all of these.
-    pub fn send_all(&mut self, numbers: &[u64], line: &Line) {
+    pub fn send_all(&mut self, numbers: &[u64], line: &Message) {
         if numbers.is_empty() {
             return;
         }
@@ -226,7 +226,7 @@
     fn net(&self) -> &dyn Net;
     fn links(&self) -> &RefCell<Links>;
     fn linked(self: &Rc<Self>, number: u64);
-    fn heard(self: &Rc<Self>, number: u64, line: Line);
+    fn heard(self: &Rc<Self>, number: u64, line: Message);
     fn unlinked(self: &Rc<Self>, number: u64, link: Link);
 }
 
@@ -242,14 +242,14 @@
 ) {
     let mut reader = BufReader::with_capacity(4096, read);
     let mut bytes = Vec::new();
-    let hello = serde_json::to_string(&Line::Hello(listener.me())).unwrap_or_default() + "\n";
+    let hello = serde_json::to_string(&Message::Hello(listener.me())).unwrap_or_default() + "\n";
     if write.write_all(hello.as_bytes()).await.is_err() {
         return;
     }
     if !matches!(timeout(DIAL, line(&mut reader, &mut bytes)).await, Ok(true)) {
         return;
     }
-    let Ok(Line::Hello(peer)) = serde_json::from_slice(&bytes) else {
+    let Ok(Message::Hello(peer)) = serde_json::from_slice(&bytes) else {
         listener.links().borrow_mut().counters.unread += 1;
         return;
     };
@@ -320,7 +320,7 @@
             servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_gossip::State::Ready, n, false))).collect(),
             ..Summary::default()
         };
-        for (line, packed) in [(Line::Summary(summary), true), (Line::Feed(true), false)] {
+        for (line, packed) in [(Message::Summary(summary), true), (Message::Feed(true), false)] {
             let text = written(&line).expect("written");
             assert!(text.ends_with('\n') && text.contains("packed") == packed && text.len() < PACKED_FROM);
             let again = meant(text.as_bytes()).and_then(|line| serde_json::to_string(&line).ok());
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -5,20 +5,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_quorum::{Cell, DiskId, Seat, Seats};
 use ashvane_gossip::Node;
+use ashvane_quorum::{Cell, DiskId, Seat, Seats};
 use slog::{Drain as _, Level, Logger, info, o, warn};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, interval, sleep};
 
+use crate::agent::{Agent, TICK};
 use crate::control;
+use crate::data_plane::DataPlane;
 use crate::disk::Disk;
 use crate::front::{self, Door};
-use crate::hive::{Hive, TICK};
 use crate::links;
-use crate::plane::Plane;
 use crate::register::Register;
 use crate::settings::Settings;
 use crate::verdict::StartError;
@@ -51,7 +51,7 @@
     /// Lines go out as they are: the clock of the machine may jump, so each begins with seconds since start.
     fn log(&self, record: &slog::Record, values: &slog::OwnedKVList) -> Result<(), slog::Never> {
         use std::io::Write as _;
-        let mut line = Line(format!("{} {}", record.level().as_short_str(), record.msg()));
+        let mut line = LogLine(format!("{} {}", record.level().as_short_str(), record.msg()));
         let _ = slog::KV::serialize(&record.kv(), record, &mut line);
         let _ = slog::KV::serialize(values, record, &mut line);
         line.0.push('\n');
@@ -60,9 +60,9 @@
     }
 }
 
-struct Line(String);
+struct LogLine(String);
 
-impl slog::Serializer for Line {
+impl slog::Serializer for LogLine {
     fn emit_arguments(&mut self, key: slog::Key, value: &std::fmt::Arguments) -> slog::Result {
         use std::fmt::Write as _;
         write!(self.0, " {key}={value}").map_err(slog::Error::from)
@@ -150,9 +150,9 @@
 }
 
 /// Reads the settings file again; one that cannot be used changes nothing.
-fn reload(hive: &Hive, file: Option<&str>, log: &Logger) {
+fn reload(agent: &Agent, file: Option<&str>, log: &Logger) {
     match file.map(Settings::load) {
-        Some(Ok(settings)) => hive.reloaded(&settings),
+        Some(Ok(settings)) => agent.reloaded(&settings),
         Some(Err(why)) => {
             warn!(log, "the settings file has changed and cannot be used"; "why" => why.to_string())
         }
@@ -186,13 +186,14 @@
     }
     let (register, disk) = register.unzip();
     let me = node(&settings, life, address.to_string(), disk);
-    let plane = settings.front.map(|_| Plane::new(&settings, log.clone()));
-    let hive = Hive::new(settings.clone(), me, register, plane.clone(), Rc::new(links::Sockets), log.clone());
-    hive.recall(recalled);
+    let plane = settings.front.map(|_| DataPlane::new(&settings, log.clone()));
+    let agent =
+        Agent::new(settings.clone(), me, register, plane.clone(), Rc::new(links::Sockets), log.clone());
+    agent.recall(recalled);
     let door = Rc::new(Door::default());
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     {
-        let hive = hive.clone();
+        let agent = agent.clone();
         spawn(Box::pin(async move {
             loop {
                 let Ok((stream, _)) = inside.accept().await else {
@@ -200,18 +201,18 @@
                     continue;
                 };
                 let (read, write) = links::ways(stream);
-                tokio::task::spawn_local(links::run(read, write, false, hive.clone()));
+                tokio::task::spawn_local(links::run(read, write, false, agent.clone()));
             }
         }));
     }
     if let Some(address) = settings.control {
-        spawn(Box::pin(control::run(listen(address)?, address.to_string(), hive.clone())));
+        spawn(Box::pin(control::run(listen(address)?, address.to_string(), agent.clone())));
     }
     if let Some(address) = settings.readiness {
-        spawn(Box::pin(front::tell_readiness(listen(address)?, hive.clone())));
+        spawn(Box::pin(front::tell_readiness(listen(address)?, agent.clone())));
     }
     if let (Some(address), Some(plane)) = (settings.front, plane) {
-        spawn(Box::pin(front::run(listen(address)?, hive.clone(), plane, door.clone())));
+        spawn(Box::pin(front::run(listen(address)?, agent.clone(), plane, door.clone())));
     }
     info!(log, "started"; "node" => &settings.node, "address" => address.to_string());
     let runtime = |why| StartError::Runtime { why };
@@ -225,19 +226,19 @@
     let mut closed = false;
     loop {
         tokio::select! {
-            _ = ticks.tick() => hive.tick(),
+            _ = ticks.tick() => agent.tick(),
             _ = end.recv() => drop(leaving.get_or_insert_with(Instant::now)),
             _ = interrupt.recv() => drop(leaving.get_or_insert_with(Instant::now)),
-            _ = hangup.recv() => reload(&hive, file, &log),
+            _ = hangup.recv() => reload(&agent, file, &log),
         }
         if counted.elapsed() >= COUNT {
             counted = Instant::now();
-            hive.count();
+            agent.count();
             // It may change without a signal.
-            reload(&hive, file, &log);
+            reload(&agent, file, &log);
         }
         let Some(since) = leaving else { continue };
-        hive.leave();
+        agent.leave();
         let turned_away = settings.front.is_none() || since.elapsed() >= TURN_AWAY;
         if turned_away && !closed {
             closed = true;
@@ -245,7 +246,7 @@
         }
         let over = since.elapsed() + GRACE_KEPT >= settings.grace;
         if closed && (door.open() == 0 || over) {
-            hive.count();
+            agent.count();
             info!(log, "ended"; "open" => door.open(), "busy" => door.busy());
             return Ok(());
         }
--- a/crates/node/tests/curves.rs
+++ b/crates/node/tests/curves.rs
@@ -9,8 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_node::hive::Put;
 use ashvane_gossip::{Beat, State};
+use ashvane_node::agent::Put;
 use meadow::{Machine, Meadow, configuration, ms, play};
 use tokio::time::{Instant, sleep};
 
@@ -38,7 +38,7 @@
 fn said(meadow: &Meadow, control_node: bool) -> BTreeMap<&'static str, (u64, u64)> {
     let mut all: BTreeMap<&'static str, (u64, u64)> = BTreeMap::new();
     for machine in meadow.all().iter().filter(|m| m.is_control_node() == control_node) {
-        for (cause, (lines, bytes)) in machine.hive().map(|hive| hive.said()).unwrap_or_default() {
+        for (cause, (lines, bytes)) in machine.agent().map(|agent| agent.said()).unwrap_or_default() {
             let sum = all.entry(cause).or_default();
             (sum.0, sum.1) = (sum.0 + lines, sum.1 + bytes);
         }
@@ -73,10 +73,10 @@
     // Each control_node hears its part of the servers, each second.
     for (at, control_node) in control_nodes.iter().enumerate() {
         let (servers, step) = (size.servers, control_nodes.len());
-        let hears = move |hive: Rc<ashvane_node::hive::Hive>| async move {
+        let hears = move |agent: Rc<ashvane_node::agent::Agent>| async move {
             for seq in 1.. {
                 for n in (at..servers).step_by(step) {
-                    hive.beat(beat(n, State::Ready, seq)).await;
+                    agent.beat(beat(n, State::Ready, seq)).await;
                 }
                 sleep(ms(1000)).await;
             }
@@ -87,24 +87,24 @@
         });
     }
     let last = format!("i-{}", size.servers - 1);
-    let (all_servers, _) = known(&gateways, |m| m.hive().is_some_and(|h| h.offers_work_to(&last))).await;
+    let (all_servers, _) = known(&gateways, |m| m.agent().is_some_and(|h| h.offers_work_to(&last))).await;
     sleep(ms(10_000)).await;
     let before = (said(&meadow, true), said(&meadow, false));
     sleep(ms(10_000)).await;
     let calm = (said(&meadow, true), said(&meadow, false));
     let text = configuration(7, 0);
-    let put = |hive: Rc<ashvane_node::hive::Hive>| async move { hive.put(text.as_bytes()).await };
+    let put = |agent: Rc<ashvane_node::agent::Agent>| async move { agent.put(text.as_bytes()).await };
     assert!(matches!(control_nodes[0].ask(PATIENCE, put).await, Some(Put::Held(7))));
-    let version = |m: &Machine| m.hive().and_then(|h| h.config()).is_some_and(|c| c.version == 7);
+    let version = |m: &Machine| m.agent().and_then(|h| h.config()).is_some_and(|c| c.version == 7);
     let config = known(&gateways, version).await;
     let mut drains = Vec::new();
     for n in 0..5 {
         let (control_node, id) = (&control_nodes[n % control_nodes.len()], format!("i-{n}"));
-        let leaves = move |hive: Rc<ashvane_node::hive::Hive>| async move {
-            hive.beat(beat(n, State::Draining, 1_000_000)).await
+        let leaves = move |agent: Rc<ashvane_node::agent::Agent>| async move {
+            agent.beat(beat(n, State::Draining, 1_000_000)).await
         };
         assert_eq!(control_node.ask(PATIENCE, leaves).await, Some(true), "acknowledged");
-        drains.push(known(&gateways, |m| m.hive().is_some_and(|h| !h.offers_work_to(&id))).await);
+        drains.push(known(&gateways, |m| m.agent().is_some_and(|h| !h.offers_work_to(&id))).await);
     }
     let drain = (drains.iter().map(|d| d.0).max(), drains.iter().map(|d| d.1).max());
     println!(
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -2,8 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
-use ashvane_quorum::{Cell, Filed, Seats};
 use ashvane_node::disk::{Disk, Found};
+use ashvane_quorum::{Cell, Filed, Seats};
 
 fn folder(name: &str) -> PathBuf {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
--- a/crates/node/tests/meadow/mod.rs
+++ b/crates/node/tests/meadow/mod.rs
@@ -8,8 +8,8 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use ashvane_node::agent::{Agent, TICK};
 use ashvane_node::disk::{Disk, Whole};
-use ashvane_node::hive::{Hive, TICK};
 use ashvane_node::links::{self, Dialled, Net, Ways};
 use ashvane_node::program::{cell, node};
 use ashvane_node::register::Register;
@@ -42,7 +42,7 @@
     )
 }
 
-type Job = Box<dyn FnOnce(Rc<Hive>)>;
+type Job = Box<dyn FnOnce(Rc<Agent>)>;
 
 /// The network: who listens, and which machines are cut off from the others.
 #[derive(Default)]
@@ -178,7 +178,7 @@
     body: RefCell<Option<JoinHandle<()>>>,
     frozen: Rc<Cell<bool>>,
     waker: Rc<RefCell<Option<Waker>>>,
-    hive: Rc<RefCell<Option<Rc<Hive>>>>,
+    agent: Rc<RefCell<Option<Rc<Agent>>>>,
     jobs: RefCell<Option<mpsc::UnboundedSender<Job>>>,
 }
 
@@ -190,8 +190,8 @@
         Rc::new(Machine { name, ip, platter, seeds, losses, well_since, ..Machine::default() })
     }
 
-    pub fn hive(&self) -> Option<Rc<Hive>> {
-        self.hive.borrow().clone()
+    pub fn agent(&self) -> Option<Rc<Agent>> {
+        self.agent.borrow().clone()
     }
 
     pub fn is_control_node(&self) -> bool {
@@ -211,18 +211,18 @@
     /// The process ends here and now; what its disk has not synced is lost.
     pub fn kill(&self, air: &Air) {
         self.body.borrow_mut().take().into_iter().for_each(|body| body.abort());
-        (*self.jobs.borrow_mut(), *self.hive.borrow_mut()) = (None, None);
+        (*self.jobs.borrow_mut(), *self.agent.borrow_mut()) = (None, None);
         self.freeze(false);
         air.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
     }
 
     /// What the process says to this, unless it takes longer than its caller waits.
     pub async fn ask<T: 'static, F: Future<Output = T> + 'static>(
-        &self, patience: Duration, job: impl FnOnce(Rc<Hive>) -> F + 'static,
+        &self, patience: Duration, job: impl FnOnce(Rc<Agent>) -> F + 'static,
     ) -> Option<T> {
         let (done, answer) = oneshot::channel();
-        let job = move |hive| {
-            let job = job(hive);
+        let job = move |agent| {
+            let job = job(agent);
             spawn_local(async move { drop(done.send(job.await)) });
         };
         self.jobs.borrow().as_ref()?.send(Box::new(job)).ok()?;
@@ -260,7 +260,7 @@
             life,
             self.platter.clone(),
             air.clone(),
-            self.hive.clone(),
+            self.agent.clone(),
             todo,
         ));
         let body = Body { tasks, frozen: self.frozen.clone(), waker: self.waker.clone() };
@@ -292,7 +292,7 @@
 }
 
 fn is_aloud() -> bool {
-    std::env::var_os("HIVE_LOG").is_some()
+    std::env::var_os("NODE_LOG").is_some()
 }
 
 thread_local! {
@@ -309,7 +309,7 @@
 /// As `program::serve` has it, but for the sockets that face the outside.
 async fn process(
     settings: Settings, life: u64, platter: Option<Platter>, air: Rc<Air>,
-    slot: Rc<RefCell<Option<Rc<Hive>>>>, mut todo: mpsc::UnboundedReceiver<Job>,
+    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut todo: mpsc::UnboundedReceiver<Job>,
 ) {
     let log = match is_aloud() {
         true => Logger::root(Aloud.fuse(), o!("at" => settings.node.clone())),
@@ -343,18 +343,18 @@
     let (register, disk) = register.unzip();
     let me = node(&settings, life, address, disk);
     let wing = Wing { air, own: settings.ip.clone() };
-    let hive = Hive::new(settings, me, register, None, Rc::new(wing), log);
-    hive.recall(recalled);
-    *slot.borrow_mut() = Some(hive.clone());
+    let agent = Agent::new(settings, me, register, None, Rc::new(wing), log);
+    agent.recall(recalled);
+    *slot.borrow_mut() = Some(agent.clone());
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = ticks.tick() => hive.tick(),
+            _ = ticks.tick() => agent.tick(),
             Some((read, write)) = callers.recv() => {
-                spawn_local(links::run(read, write, false, hive.clone()));
+                spawn_local(links::run(read, write, false, agent.clone()));
             }
-            Some(job) = todo.recv() => job(hive.clone()),
+            Some(job) = todo.recv() => job(agent.clone()),
         }
     }
 }
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_node::hive::Put;
 use ashvane_gossip::{Beat, State};
+use ashvane_node::agent::Put;
 use meadow::{Machine, Meadow, configuration, ms, play, say};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
@@ -117,7 +117,8 @@
         spawn_local(async move {
             let put = async |at: Rc<Machine>| {
                 let bytes = sent.clone();
-                let put = async move |hive: Rc<ashvane_node::hive::Hive>| hive.put(bytes.as_bytes()).await;
+                let put =
+                    async move |agent: Rc<ashvane_node::agent::Agent>| agent.put(bytes.as_bytes()).await;
                 let held = matches!(at.ask(PATIENCE, put).await, Some(Put::Held(held)) if held >= version);
                 if let Some(wiped) = strike.get().filter(|_| held) {
                     strike.set(None);
@@ -146,7 +147,7 @@
         let control_nodes = self.meadow.control_nodes();
         let at = control_nodes[self.rng.usize(..control_nodes.len())].clone();
         spawn_local(async move {
-            let put = async move |hive: Rc<ashvane_node::hive::Hive>| hive.put(bad.as_bytes()).await;
+            let put = async move |agent: Rc<ashvane_node::agent::Agent>| agent.put(bad.as_bytes()).await;
             let got = at.ask(PATIENCE, put).await;
             assert!(matches!(got, None | Some(Put::Invalid(_))), "what is invalid is acknowledged");
         });
@@ -173,7 +174,7 @@
                 };
                 let beats = async |at: Rc<Machine>| {
                     let beat = beat.clone();
-                    at.ask(PATIENCE, async move |hive| hive.beat(beat).await).await == Some(true)
+                    at.ask(PATIENCE, async move |agent| agent.beat(beat).await).await == Some(true)
                 };
                 if until_taken(&meadow, rng.fork(), beats).await && state == State::Draining {
                     told.borrow_mut().left.insert(id.clone(), Instant::now());
@@ -182,7 +183,7 @@
             }
             let gone = async |at: Rc<Machine>| {
                 let id = id.clone();
-                at.ask(PATIENCE, async move |hive| hive.left(&id).await).await == Some(true)
+                at.ask(PATIENCE, async move |agent| agent.left(&id).await).await == Some(true)
             };
             until_taken(&meadow, rng.fork(), gone).await;
         });
@@ -340,8 +341,8 @@
         let now = Instant::now();
         let told = self.told.borrow();
         for machine in self.meadow.all() {
-            let Some(hive) = machine.hive() else { continue };
-            let version = hive.config().map_or(0, |c| c.version);
+            let Some(agent) = machine.agent() else { continue };
+            let version = agent.config().map_or(0, |c| c.version);
             let before = self.seen.entry((machine.name.clone(), machine.life.get())).or_insert(0);
             assert!(version >= *before, "{} went back from {before} to {version}", machine.name);
             *before = version;
@@ -353,7 +354,7 @@
             assert!(version >= due, "{} has {version}, {due} was acknowledged", machine.name);
             let drained = told.left.iter().filter(|(_, at)| now - **at > DRAIN);
             for (id, _) in drained {
-                assert!(!hive.offers_work_to(id), "{} offers work to {id}", machine.name);
+                assert!(!agent.offers_work_to(id), "{} offers work to {id}", machine.name);
             }
         }
         if self.settled.is_some_and(|at| at.elapsed() >= ACK + CONTACT) {
@@ -366,7 +367,7 @@
     async fn read_back(&mut self) {
         let newest = self.told.borrow().held.iter().map(|(version, _)| *version).max().unwrap_or(0);
         for machine in self.meadow.control_nodes() {
-            let read = async |hive: Rc<ashvane_node::hive::Hive>| hive.newest().await;
+            let read = async |agent: Rc<ashvane_node::agent::Agent>| agent.newest().await;
             let found = machine.ask(ACK, read).await.flatten().flatten();
             let found = found.unwrap_or_else(|| panic!("{} cannot read the register", machine.name));
             assert!(found.version >= newest, "{} of {newest} acknowledged is read", found.version);
@@ -374,7 +375,7 @@
             let text = String::from_utf8(text).expect("text");
             assert!(self.told.borrow().sent.contains(&text), "nobody sent what is read: {text}");
         }
-        let known = |m: &Rc<Machine>| m.hive().map(|hive| hive.digest());
+        let known = |m: &Rc<Machine>| m.agent().map(|agent| agent.digest());
         let all: Vec<_> = self.meadow.all().iter().map(|m| (m.name.clone(), known(m))).collect();
         assert!(all.iter().all(|(_, d)| *d == all[0].1), "they know different things: {all:?}");
     }
@@ -436,12 +437,12 @@
 /// seeds that are gone (70, 302), a server that had left recalled after a restart of all (365).
 const DAYS: [u64; 8] = [1, 2, 3, 64, 70, 100, 302, 365];
 
-/// By hand: `HIVE_FROM=0 HIVE_DAYS=1000 cargo test --release -p ashvane-node --test whole`; `HIVE_LOG=1` says all.
+/// By hand: `SIMULATION_FROM=0 SIMULATION_DAYS=1000 cargo test --release -p ashvane-node --test whole`; `NODE_LOG=1` says all.
 #[test]
 fn whole_processes_keep_what_they_have_promised() {
     let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
-    let broken = match number("HIVE_DAYS") {
-        Some(days) => hunt((0..days).map(|n| n + number("HIVE_FROM").unwrap_or(0))),
+    let broken = match number("SIMULATION_DAYS") {
+        Some(days) => hunt((0..days).map(|n| n + number("SIMULATION_FROM").unwrap_or(0))),
         None => hunt(DAYS.into_iter()),
     };
     assert!(broken.is_empty(), "{broken:#?}");
