--- a/crates/node/tests/curves.rs
+++ b/crates/node/tests/curves.rs
@@ -3,7 +3,7 @@
 //! `cargo test --release -p ashvane-node --test curves -- --ignored --nocapture`; `CURVES=600,27,10000` plays one size.
 
 #[allow(dead_code)]
-mod meadow;
+mod simulation;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 
 use ashvane_gossip::{Beat, State};
 use ashvane_node::agent::Put;
-use meadow::{Machine, Meadow, configuration, ms, play};
+use simulation::{Machine, Simulation, configuration, ms, play};
 use tokio::time::{Instant, sleep};
 
 const PATIENCE: Duration = ms(2000);
@@ -35,9 +35,9 @@
     }
 }
 
-fn said(meadow: &Meadow, control_node: bool) -> BTreeMap<&'static str, (u64, u64)> {
+fn said(simulation: &Simulation, control_node: bool) -> BTreeMap<&'static str, (u64, u64)> {
     let mut all: BTreeMap<&'static str, (u64, u64)> = BTreeMap::new();
-    for machine in meadow.all().iter().filter(|m| m.is_control_node() == control_node) {
+    for machine in simulation.all().iter().filter(|m| m.is_control_node() == control_node) {
         for (cause, (lines, bytes)) in machine.agent().map(|agent| agent.said()).unwrap_or_default() {
             let sum = all.entry(cause).or_default();
             (sum.0, sum.1) = (sum.0 + lines, sum.1 + bytes);
@@ -66,9 +66,9 @@
 async fn play_size(size: Size) {
     fastrand::seed(1);
     let losses = if size.control_nodes > 5 { 2 } else { 1 };
-    let meadow = Meadow::new(size.control_nodes, size.gateways, losses);
+    let simulation = Simulation::new(size.control_nodes, size.gateways, losses);
     sleep(ms(8000)).await;
-    let (control_nodes, all) = (meadow.control_nodes(), meadow.all());
+    let (control_nodes, all) = (simulation.control_nodes(), simulation.all());
     let gateways: Vec<_> = all.iter().filter(|m| !m.is_control_node()).cloned().collect();
     // Each control_node hears its part of the servers, each second.
     for (at, control_node) in control_nodes.iter().enumerate() {
@@ -89,9 +89,9 @@
     let last = format!("i-{}", size.servers - 1);
     let (all_servers, _) = known(&gateways, |m| m.agent().is_some_and(|h| h.offers_work_to(&last))).await;
     sleep(ms(10_000)).await;
-    let before = (said(&meadow, true), said(&meadow, false));
+    let before = (said(&simulation, true), said(&simulation, false));
     sleep(ms(10_000)).await;
-    let calm = (said(&meadow, true), said(&meadow, false));
+    let calm = (said(&simulation, true), said(&simulation, false));
     let text = configuration(7, 0);
     let put = |agent: Rc<ashvane_node::agent::Agent>| async move { agent.put(text.as_bytes()).await };
     assert!(matches!(control_nodes[0].ask(PATIENCE, put).await, Some(Put::Held(7))));
--- a/crates/node/tests/meadow/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -1,4 +1,4 @@
-//! A meadow of machines: whole processes of the system, each with its register, board, links and duties as in service,
+//! A simulation of machines: whole processes of the system, each with its register, board, links and duties as in service,
 //! on a network and on disks that are played. Time is tokio's own, paused: it goes on where all wait.
 
 use std::cell::{Cell, RefCell};
@@ -46,7 +46,7 @@
 
 /// The network: who listens, and which machines are cut off from the others.
 #[derive(Default)]
-pub struct Air {
+pub struct Network {
     doors: RefCell<BTreeMap<String, mpsc::UnboundedSender<Ways>>>,
     /// Machines on the far side of a cut, by the first part of their addresses.
     far: RefCell<BTreeSet<String>>,
@@ -62,7 +62,7 @@
     address.split_once(':').map_or(address, |(host, _)| host)
 }
 
-impl Air {
+impl Network {
     /// Whether what one machine says does not reach another.
     fn is_cut(&self, from: &str, to: &str) -> bool {
         let far = self.far.borrow();
@@ -98,13 +98,15 @@
 }
 
 /// Carries one direction. What meets a cut waits for its end; the other side hears nothing.
-async fn pump(air: Rc<Air>, from: String, to: String, mut read: DuplexStream, mut write: DuplexStream) {
+async fn pump(
+    network: Rc<Network>, from: String, to: String, mut read: DuplexStream, mut write: DuplexStream,
+) {
     let mut bytes = vec![0; 16 << 10];
-    let whole = air.broken(&from, &to);
-    while air.broken(&from, &to) == whole {
+    let whole = network.broken(&from, &to);
+    while network.broken(&from, &to) == whole {
         let n = read.read(&mut bytes).await.unwrap_or(0);
         sleep(WAY).await;
-        while air.is_cut(&from, &to) {
+        while network.is_cut(&from, &to) {
             sleep(ms(20)).await;
         }
         if n == 0 || write.write_all(&bytes[..n]).await.is_err() {
@@ -113,25 +115,25 @@
     }
 }
 
-/// A machine's way into the air.
-struct Wing {
-    air: Rc<Air>,
+/// A machine's way into the network.
+struct Endpoint {
+    network: Rc<Network>,
     own: String,
 }
 
-impl Net for Wing {
+impl Net for Endpoint {
     fn dial(&self, address: String) -> Dialled {
-        let (air, own) = (self.air.clone(), self.own.clone());
+        let (network, own) = (self.network.clone(), self.own.clone());
         Box::pin(async move {
             sleep(WAY * 2).await;
-            while air.is_cut(&own, &address) || air.is_cut(&address, &own) {
+            while network.is_cut(&own, &address) || network.is_cut(&address, &own) {
                 sleep(ms(20)).await;
             }
-            let door = air.doors.borrow().get(&address).cloned()?;
+            let door = network.doors.borrow().get(&address).cloned()?;
             let pair = || (duplex(WINDOW), duplex(WINDOW));
             let (((a_out, out), (there, b_in)), ((b_out, back), (here, a_in))) = (pair(), pair());
-            air.carry(pump(air.clone(), own.clone(), address.clone(), out, there));
-            air.carry(pump(air.clone(), address, own, back, here));
+            network.carry(pump(network.clone(), own.clone(), address.clone(), out, there));
+            network.carry(pump(network.clone(), address, own, back, here));
             door.send((Box::new(b_in), Box::new(b_out))).ok()?;
             Some((Box::new(a_in) as _, Box::new(a_out) as _))
         })
@@ -140,7 +142,7 @@
 
 /// What a machine's disk holds, and how long a sync takes there.
 #[derive(Clone)]
-pub struct Platter {
+pub struct Storage {
     pub safe: Rc<RefCell<Whole>>,
     pub sync: Rc<Cell<Duration>>,
 }
@@ -165,7 +167,7 @@
 pub struct Machine {
     pub name: String,
     pub ip: String,
-    pub platter: Option<Platter>,
+    pub storage: Option<Storage>,
     /// As its settings file has them: those of the day on which it was written, and how many losses are to be borne.
     seeds: Vec<String>,
     losses: usize,
@@ -184,10 +186,10 @@
 
 impl Machine {
     fn new(name: String, number: usize, disk: bool, seeds: Vec<String>, losses: usize) -> Rc<Self> {
-        let platter = disk.then(|| Platter { safe: Rc::default(), sync: Rc::new(Cell::new(SYNC)) });
+        let storage = disk.then(|| Storage { safe: Rc::default(), sync: Rc::new(Cell::new(SYNC)) });
         let well_since = Cell::new(Some(Instant::now()));
         let ip = format!("10.0.0.{number}");
-        Rc::new(Machine { name, ip, platter, seeds, losses, well_since, ..Machine::default() })
+        Rc::new(Machine { name, ip, storage, seeds, losses, well_since, ..Machine::default() })
     }
 
     pub fn agent(&self) -> Option<Rc<Agent>> {
@@ -195,7 +197,7 @@
     }
 
     pub fn is_control_node(&self) -> bool {
-        self.platter.is_some() && !self.gone.get()
+        self.storage.is_some() && !self.gone.get()
     }
 
     pub fn freeze(&self, frozen: bool) {
@@ -205,15 +207,15 @@
 
     /// Its disk is empty from now on.
     pub fn wipe(&self) {
-        self.platter.iter().for_each(|platter| drop(platter.safe.take()));
+        self.storage.iter().for_each(|storage| drop(storage.safe.take()));
     }
 
     /// The process ends here and now; what its disk has not synced is lost.
-    pub fn kill(&self, air: &Air) {
+    pub fn kill(&self, network: &Network) {
         self.body.borrow_mut().take().into_iter().for_each(|body| body.abort());
         (*self.jobs.borrow_mut(), *self.agent.borrow_mut()) = (None, None);
         self.freeze(false);
-        air.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
+        network.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
     }
 
     /// What the process says to this, unless it takes longer than its caller waits.
@@ -229,13 +231,13 @@
         timeout(patience, answer).await.ok()?.ok()
     }
 
-    pub fn start(&self, air: &Rc<Air>, bootstrap: bool) {
+    pub fn start(&self, network: &Rc<Network>, bootstrap: bool) {
         if self.body.borrow().is_some() {
             return;
         }
         self.life.set(self.life.get() + 1);
         let (jobs, todo) = mpsc::unbounded_channel();
-        let control_node = self.platter.is_some();
+        let control_node = self.storage.is_some();
         let disk = if control_node { "data-dir = \"-\"\n" } else { "" };
         let listen = if control_node {
             format!("control = \"{}:8047\"", self.ip)
@@ -258,8 +260,8 @@
         tasks.spawn_local(process(
             settings,
             life,
-            self.platter.clone(),
-            air.clone(),
+            self.storage.clone(),
+            network.clone(),
             self.agent.clone(),
             todo,
         ));
@@ -308,7 +310,7 @@
 
 /// As `program::serve` has it, but for the sockets that face the outside.
 async fn process(
-    settings: Settings, life: u64, platter: Option<Platter>, air: Rc<Air>,
+    settings: Settings, life: u64, storage: Option<Storage>, network: Rc<Network>,
     slot: Rc<RefCell<Option<Rc<Agent>>>>, mut todo: mpsc::UnboundedReceiver<Job>,
 ) {
     let log = match is_aloud() {
@@ -317,21 +319,21 @@
     };
     let address = format!("{}:7080", settings.ip);
     let (door, mut callers) = mpsc::unbounded_channel();
-    air.doors.borrow_mut().insert(address.clone(), door);
+    network.doors.borrow_mut().insert(address.clone(), door);
     let mut recalled = Vec::new();
     let mut register = None;
-    if let Some(platter) = platter {
-        let mut found = platter.safe.borrow().found();
+    if let Some(storage) = storage {
+        let mut found = storage.safe.borrow().found();
         recalled = std::mem::take(&mut found.servers);
         let (disk, inbox) = Disk::new();
         spawn_local(async move {
             loop {
                 sleep(ms(1)).await;
                 let Some(mut wanted) = inbox.take() else { continue };
-                let mut whole = platter.safe.borrow().clone();
+                let mut whole = storage.safe.borrow().clone();
                 if wanted.onto(&mut whole) {
-                    sleep(platter.sync.get()).await;
-                    *platter.safe.borrow_mut() = whole;
+                    sleep(storage.sync.get()).await;
+                    *storage.safe.borrow_mut() = whole;
                 }
                 wanted.is_safe();
             }
@@ -342,8 +344,8 @@
     }
     let (register, disk) = register.unzip();
     let me = node(&settings, life, address, disk);
-    let wing = Wing { air, own: settings.ip.clone() };
-    let agent = Agent::new(settings, me, register, None, Rc::new(wing), log);
+    let endpoint = Endpoint { network, own: settings.ip.clone() };
+    let agent = Agent::new(settings, me, register, None, Rc::new(endpoint), log);
     agent.recall(recalled);
     *slot.borrow_mut() = Some(agent.clone());
     let mut ticks = interval(TICK);
@@ -359,15 +361,15 @@
     }
 }
 
-pub struct Meadow {
-    pub air: Rc<Air>,
+pub struct Simulation {
+    pub network: Rc<Network>,
     pub machines: RefCell<Vec<Rc<Machine>>>,
 }
 
-impl Meadow {
+impl Simulation {
     pub fn new(control_nodes: usize, gateways: usize, losses: usize) -> Rc<Self> {
-        let air = Rc::new(Air::default());
-        let carrying = air.clone();
+        let network = Rc::new(Network::default());
+        let carrying = network.clone();
         spawn_local(std::future::poll_fn(move |cx| {
             carrying.pumps.borrow_mut().drain(..).for_each(|pump| drop(spawn_local(pump)));
             *carrying.wanted.borrow_mut() = Some(cx.waker().clone());
@@ -379,8 +381,8 @@
             false => Machine::new(format!("gateway-{n}"), n + 1, false, seeds.clone(), losses),
         };
         let machines: Vec<_> = (0..control_nodes + gateways).map(machine).collect();
-        machines.iter().for_each(|m| m.start(&air, true));
-        Rc::new(Meadow { air, machines: RefCell::new(machines) })
+        machines.iter().for_each(|m| m.start(&network, true));
+        Rc::new(Simulation { network, machines: RefCell::new(machines) })
     }
 
     /// A new machine of the core, at an address of its own and with an empty disk.
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -2,7 +2,7 @@
 //! core killed at once, all without power, while operators race each other and servers come and go. What must hold is
 //! checked all along. Time is counted, nothing is waited for.
 
-mod meadow;
+mod simulation;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +12,7 @@
 
 use ashvane_gossip::{Beat, State};
 use ashvane_node::agent::Put;
-use meadow::{Machine, Meadow, configuration, ms, play, say};
+use simulation::{Machine, Simulation, configuration, ms, play, say};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -48,12 +48,14 @@
 }
 
 /// Calls one control_node after another, as operators and servers do, until one has said yes.
-async fn until_taken<F>(meadow: &Meadow, mut rng: fastrand::Rng, job: impl Fn(Rc<Machine>) -> F) -> bool
+async fn until_taken<F>(
+    simulation: &Simulation, mut rng: fastrand::Rng, job: impl Fn(Rc<Machine>) -> F,
+) -> bool
 where
     F: Future<Output = bool>,
 {
     for n in 0..40 {
-        let control_nodes = meadow.control_nodes();
+        let control_nodes = simulation.control_nodes();
         let at = control_nodes[rng.usize(..control_nodes.len())].clone();
         if job(at).await {
             return true;
@@ -72,7 +74,7 @@
 
 struct World {
     rng: fastrand::Rng,
-    meadow: Rc<Meadow>,
+    simulation: Rc<Simulation>,
     told: Rc<RefCell<Told>>,
     version: u64,
     born: u64,
@@ -95,7 +97,7 @@
         let (control_nodes, losses) = if seed % 4 == 3 { (9, 2) } else { (5, 1) };
         World {
             rng: fastrand::Rng::with_seed(seed),
-            meadow: Meadow::new(control_nodes, 6, losses),
+            simulation: Simulation::new(control_nodes, 6, losses),
             losses,
             strike: Rc::default(),
             struck: Rc::default(),
@@ -110,7 +112,7 @@
 
     fn put(&mut self, version: u64) {
         let sent = configuration(version, self.rng.u64(..3));
-        let (meadow, told, rng) = (self.meadow.clone(), self.told.clone(), self.rng.fork());
+        let (simulation, told, rng) = (self.simulation.clone(), self.told.clone(), self.rng.fork());
         let (strike, struck) = (self.strike.clone(), self.struck.clone());
         told.borrow_mut().sent.insert(sent.clone());
         told.borrow_mut().open.entry(version).or_insert_with(Instant::now);
@@ -123,7 +125,7 @@
                 if let Some(wiped) = strike.get().filter(|_| held) {
                     strike.set(None);
                     say(&format!("STRUCK {} wiped {wiped}", at.name));
-                    at.kill(&meadow.air);
+                    at.kill(&simulation.network);
                     if wiped {
                         at.wipe();
                     }
@@ -131,7 +133,7 @@
                 }
                 held
             };
-            if until_taken(&meadow, rng, put).await {
+            if until_taken(&simulation, rng, put).await {
                 let mut told = told.borrow_mut();
                 told.open.remove(&version);
                 told.held.push((version, Instant::now()));
@@ -144,7 +146,7 @@
     fn put_invalid(&mut self) {
         let bad =
             configuration(self.version + 1_000_000, 0).replace("\"service\":\"s\"", "\"service\":\"t\"");
-        let control_nodes = self.meadow.control_nodes();
+        let control_nodes = self.simulation.control_nodes();
         let at = control_nodes[self.rng.usize(..control_nodes.len())].clone();
         spawn_local(async move {
             let put = async move |agent: Rc<ashvane_node::agent::Agent>| agent.put(bad.as_bytes()).await;
@@ -158,7 +160,7 @@
         self.born += 1;
         let id = format!("i-{}", self.born);
         let address = format!("10.1.0.{}:8080", self.born);
-        let (meadow, told, mut rng) = (self.meadow.clone(), self.told.clone(), self.rng.fork());
+        let (simulation, told, mut rng) = (self.simulation.clone(), self.told.clone(), self.rng.fork());
         let lives = rng.u64(3..20);
         spawn_local(async move {
             for seq in 1..=lives + 1 {
@@ -176,7 +178,7 @@
                     let beat = beat.clone();
                     at.ask(PATIENCE, async move |agent| agent.beat(beat).await).await == Some(true)
                 };
-                if until_taken(&meadow, rng.fork(), beats).await && state == State::Draining {
+                if until_taken(&simulation, rng.fork(), beats).await && state == State::Draining {
                     told.borrow_mut().left.insert(id.clone(), Instant::now());
                 }
                 sleep(ms(1000)).await;
@@ -185,21 +187,21 @@
                 let id = id.clone();
                 at.ask(PATIENCE, async move |agent| agent.left(&id).await).await == Some(true)
             };
-            until_taken(&meadow, rng.fork(), gone).await;
+            until_taken(&simulation, rng.fork(), gone).await;
         });
     }
 
     fn down(&mut self, machine: &Rc<Machine>, for_ms: u64) {
-        machine.kill(&self.meadow.air);
+        machine.kill(&self.simulation.network);
         machine.well_since.set(None);
         self.heals.push((Instant::now() + ms(for_ms), Heal::Start(machine.clone())));
     }
 
     /// One trouble of the core, or of the others beside it.
     fn trouble(&mut self) {
-        let control_nodes = self.meadow.control_nodes();
+        let control_nodes = self.simulation.control_nodes();
         let control_node = control_nodes[self.rng.usize(..control_nodes.len())].clone();
-        let all = self.meadow.all();
+        let all = self.simulation.all();
         let gateways: Vec<_> = all.iter().filter(|m| !m.is_control_node()).cloned().collect();
         let (now, lasts) = (Instant::now(), self.rng.u64(200..4000));
         let what = self.rng.usize(..14);
@@ -215,9 +217,9 @@
                 self.down(&control_node, lasts);
             }
             2 => {
-                control_node.kill(&self.meadow.air);
+                control_node.kill(&self.simulation.network);
                 control_node.gone.set(true);
-                let new = self.meadow.add_control_node();
+                let new = self.simulation.add_control_node();
                 new.well_since.set(None);
                 self.heals.push((now + ms(lasts), Heal::Start(new)));
             }
@@ -229,9 +231,9 @@
             4 => {
                 control_node.well_since.set(None);
                 match self.rng.usize(..3) {
-                    0 => self.meadow.air.deafen(&control_node.ip),
-                    1 => self.meadow.air.break_all(&control_node.ip),
-                    _ => self.meadow.air.cut([control_node.ip.clone()]),
+                    0 => self.simulation.network.deafen(&control_node.ip),
+                    1 => self.simulation.network.break_all(&control_node.ip),
+                    _ => self.simulation.network.cut([control_node.ip.clone()]),
                 }
                 self.heals.push((now + ms(lasts), Heal::Join));
             }
@@ -239,12 +241,12 @@
             5 => {
                 let far = control_nodes[..2].iter().chain(&gateways[..3]);
                 far.clone().for_each(|m| m.well_since.set(None));
-                self.meadow.air.cut(far.map(|m| m.ip.clone()));
+                self.simulation.network.cut(far.map(|m| m.ip.clone()));
                 self.heals.push((now + ms(lasts), Heal::Join));
             }
             6 => {
-                let platter = control_node.platter.as_ref().expect("a disk");
-                platter.sync.set(ms(lasts));
+                let storage = control_node.storage.as_ref().expect("a disk");
+                storage.sync.set(ms(lasts));
                 control_node.well_since.set(None);
                 self.heals.push((now + ms(lasts), Heal::Sync(control_node.clone())));
             }
@@ -286,7 +288,7 @@
                     }
                     _ => {
                         gateway.well_since.set(None);
-                        self.meadow.air.cut([gateway.ip.clone()]);
+                        self.simulation.network.cut([gateway.ip.clone()]);
                         self.heals.push((now + ms(lasts), Heal::Join));
                     }
                 }
@@ -308,7 +310,7 @@
             say("HEALED");
             match heal {
                 Heal::Start(machine) => {
-                    machine.start(&self.meadow.air, false);
+                    machine.start(&self.simulation.network, false);
                     machine.well_since.set(Some(now));
                 }
                 Heal::Thaw(machine) => {
@@ -316,12 +318,12 @@
                     machine.well_since.set(Some(now));
                 }
                 Heal::Sync(machine) => {
-                    machine.platter.as_ref().expect("a disk").sync.set(ms(5));
+                    machine.storage.as_ref().expect("a disk").sync.set(ms(5));
                     machine.well_since.set(Some(now));
                 }
                 Heal::Join => {
-                    self.meadow.air.mend();
-                    let cut = self.meadow.all().into_iter().filter(|m| m.well_since.get().is_none());
+                    self.simulation.network.mend();
+                    let cut = self.simulation.all().into_iter().filter(|m| m.well_since.get().is_none());
                     cut.for_each(|m| m.well_since.set(Some(now)));
                 }
             }
@@ -340,7 +342,7 @@
     fn check(&mut self) {
         let now = Instant::now();
         let told = self.told.borrow();
-        for machine in self.meadow.all() {
+        for machine in self.simulation.all() {
             let Some(agent) = machine.agent() else { continue };
             let version = agent.config().map_or(0, |c| c.version);
             let before = self.seen.entry((machine.name.clone(), machine.life.get())).or_insert(0);
@@ -366,7 +368,7 @@
     /// In the end all is well: what was acknowledged is there, and all know the same.
     async fn read_back(&mut self) {
         let newest = self.told.borrow().held.iter().map(|(version, _)| *version).max().unwrap_or(0);
-        for machine in self.meadow.control_nodes() {
+        for machine in self.simulation.control_nodes() {
             let read = async |agent: Rc<ashvane_node::agent::Agent>| agent.newest().await;
             let found = machine.ask(ACK, read).await.flatten().flatten();
             let found = found.unwrap_or_else(|| panic!("{} cannot read the register", machine.name));
@@ -376,7 +378,7 @@
             assert!(self.told.borrow().sent.contains(&text), "nobody sent what is read: {text}");
         }
         let known = |m: &Rc<Machine>| m.agent().map(|agent| agent.digest());
-        let all: Vec<_> = self.meadow.all().iter().map(|m| (m.name.clone(), known(m))).collect();
+        let all: Vec<_> = self.simulation.all().iter().map(|m| (m.name.clone(), known(m))).collect();
         assert!(all.iter().all(|(_, d)| *d == all[0].1), "they know different things: {all:?}");
     }
 }
