--- a/crates/gossip/src/board.rs
+++ b/crates/gossip/src/directory.rs
@@ -5,7 +5,7 @@
 
 use ashvane_quorum::Seats;
 
-use crate::{BUCKETS, Buckets, Digest, News, Node, NodeRank, Server, State, Summary, bucket, hash};
+use crate::{BUCKETS, Buckets, Digest, Node, NodeRank, Server, State, Summary, Update, bucket, hash};
 
 /// Beats missed in a row after which a server counts as silent: one or two are lost when its keeper changes.
 const MISSED: u32 = 5;
@@ -13,12 +13,12 @@
 const ADOPTED_AFTER: Duration = Duration::from_secs(10);
 /// A tick this much later than the one before shows that this process stood still, and heard nobody.
 const STOOD_STILL: Duration = Duration::from_millis(1500);
-/// Time for which a server that ended is remembered, so that late news cannot bring it back.
+/// Time for which a server that ended is remembered, so that late updates cannot bring it back.
 const REMEMBERED: Duration = Duration::from_secs(600);
 
 /// What a server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Beat {
+pub struct Heartbeat {
     pub id: String,
     pub service: String,
     pub address: String,
@@ -28,7 +28,7 @@
     pub seq: u64,
 }
 
-pub struct Board {
+pub struct Directory {
     me: Node,
     nodes: BTreeMap<String, Node>,
     servers: BTreeMap<String, Server>,
@@ -48,10 +48,10 @@
     entries: [u64; BUCKETS],
 }
 
-impl Board {
+impl Directory {
     pub fn new(me: Node, beat_every: Duration, now: Duration) -> Self {
         let (nodes, servers, addresses, seats, heard, down, ended) = Default::default();
-        let mut board = Board {
+        let mut directory = Directory {
             me: me.clone(),
             nodes,
             servers,
@@ -65,8 +65,8 @@
             changes: 0,
             entries: [0; BUCKETS],
         };
-        board.put_node(me, now);
-        board
+        directory.put_node(me, now);
+        directory
     }
 
     pub fn me(&self) -> &Node {
@@ -151,17 +151,17 @@
 
     /// Takes over an entry if it is newer; what has to be told on stands in the answer: the entry itself, or
     /// what had to be said against it.
-    pub fn learn(&mut self, news: News, now: Duration) -> Vec<News> {
-        match news {
-            News::Seats(seats) => {
+    pub fn learn(&mut self, updates: Update, now: Duration) -> Vec<Update> {
+        match updates {
+            Update::Seats(seats) => {
                 if seats.epoch <= self.seats.epoch {
                     return Vec::new();
                 }
                 self.seats = seats;
                 self.changes += 1;
-                vec![News::Seats(self.seats.clone())]
+                vec![Update::Seats(self.seats.clone())]
             }
-            News::Node(node) if node.name == self.me.name => {
+            Update::Node(node) if node.name == self.me.name => {
                 let other = node.life != self.me.life || node.down;
                 if !other || node.rank() < self.me.rank() {
                     return Vec::new();
@@ -169,29 +169,29 @@
                 // Somebody takes us for gone, or knows an earlier life of ours.
                 self.me.age = node.age + 1;
                 self.put_node(self.me.clone(), now);
-                vec![News::Node(self.me.clone())]
+                vec![Update::Node(self.me.clone())]
             }
-            News::Node(node) => {
+            Update::Node(node) => {
                 if self.nodes.get(&node.name).is_some_and(|held| held.rank() >= node.rank()) {
                     return Vec::new();
                 }
                 self.put_node(node.clone(), now);
-                vec![News::Node(node)]
+                vec![Update::Node(node)]
             }
-            News::Server(server) => {
+            Update::Server(server) => {
                 if self.servers.get(&server.id).is_some_and(|held| held.rank() >= server.rank()) {
                     return Vec::new();
                 }
                 let mut told = self.take_address(&server.id, &server.address, server.state, now);
                 self.put_server(server.clone(), now);
-                told.push(News::Server(server));
+                told.push(Update::Server(server));
                 told
             }
         }
     }
 
     /// An address has one server: that of which was heard last. A new one ends the one before.
-    fn take_address(&mut self, id: &str, address: &str, state: State, now: Duration) -> Vec<News> {
+    fn take_address(&mut self, id: &str, address: &str, state: State, now: Duration) -> Vec<Update> {
         let new = !self.servers.contains_key(id) && state < State::Gone;
         let before = self.addresses.get(address).filter(|held| new && *held != id);
         let Some(before) = before.and_then(|held| self.servers.get(held)) else { return Vec::new() };
@@ -202,11 +202,11 @@
         }
         let ended = Server { state: State::Gone, ..before.clone() };
         self.put_server(ended.clone(), now);
-        vec![News::Server(ended)]
+        vec![Update::Server(ended)]
     }
 
     /// A server has said something of itself, here.
-    pub fn beat(&mut self, beat: Beat, now: Duration) -> Vec<News> {
+    pub fn beat(&mut self, beat: Heartbeat, now: Duration) -> Vec<Update> {
         let known = self.servers.get(&beat.id);
         let late = self.heard.get(&beat.id).is_some_and(|(_, seq)| *seq >= beat.seq);
         if known.is_some_and(|s| s.state == State::Gone) {
@@ -236,12 +236,12 @@
             keeper: self.me.name.clone(),
         };
         self.put_server(server.clone(), now);
-        told.push(News::Server(server));
+        told.push(Update::Server(server));
         told
     }
 
     /// A server has said that it ends. One that nobody knows is remembered as ended all the same.
-    pub fn left(&mut self, id: &str, now: Duration) -> Vec<News> {
+    pub fn left(&mut self, id: &str, now: Duration) -> Vec<Update> {
         let blank = || Server {
             id: id.to_owned(),
             service: String::new(),
@@ -259,22 +259,22 @@
         }
         let server = Server { state: State::Gone, ..server };
         self.put_server(server.clone(), now);
-        vec![News::Server(server)]
+        vec![Update::Server(server)]
     }
 
     /// A process that is watched from here does not answer.
-    pub fn node_lost(&mut self, name: &str, now: Duration) -> Vec<News> {
+    pub fn node_lost(&mut self, name: &str, now: Duration) -> Vec<Update> {
         let Some(node) = self.nodes.get(name).filter(|n| !n.down && n.name != self.me.name) else {
             return Vec::new();
         };
         let node = Node { down: true, ..node.clone() };
         self.put_node(node.clone(), now);
-        vec![News::Node(node)]
+        vec![Update::Node(node)]
     }
 
     /// Looks for servers that fell silent. `first`: whether this process has the duty to hear for the servers
     /// of those that are down.
-    pub fn tick(&mut self, first: bool, now: Duration) -> Vec<News> {
+    pub fn tick(&mut self, first: bool, now: Duration) -> Vec<Update> {
         let (still, silent_after) = (now.saturating_sub(self.ticked) > STOOD_STILL, self.beat_every * MISSED);
         self.ticked = now;
         if still {
@@ -304,7 +304,7 @@
         for server in &changed {
             self.put_server(server.clone(), now);
         }
-        changed.into_iter().map(News::Server).collect()
+        changed.into_iter().map(Update::Server).collect()
     }
 
     pub fn digest(&self, version: u64) -> Digest {
@@ -336,7 +336,7 @@
     }
 
     /// What is newer here than what another knows, in the parts that it speaks of.
-    pub fn newer_than(&self, summary: &Summary) -> Vec<News> {
+    pub fn newer_than(&self, summary: &Summary) -> Vec<Update> {
         let within = |name: &str| summary.parts & (1 << bucket(name)) != 0;
         let newer = |n: &&Node| within(&n.name) && summary.nodes.get(&n.name).is_none_or(|r| *r < n.rank());
         let nodes = self.nodes.values().filter(newer);
@@ -345,9 +345,9 @@
             // It may have forgotten what ended.
             None => s.state < State::Gone && within(&s.id),
         });
-        let seats = (summary.epoch < self.seats.epoch).then(|| News::Seats(self.seats.clone()));
-        let nodes = nodes.cloned().map(News::Node);
-        nodes.chain(servers.cloned().map(News::Server)).chain(seats).collect()
+        let seats = (summary.epoch < self.seats.epoch).then(|| Update::Seats(self.seats.clone()));
+        let nodes = nodes.cloned().map(Update::Node);
+        nodes.chain(servers.cloned().map(Update::Server)).chain(seats).collect()
     }
 
     /// Whether another knows something newer than this one does.
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -1,11 +1,11 @@
 //! What all processes of the system know: each other, the servers, the set of disks. Each entry has a rank that
-//! only rises, so that entries may arrive in any order, twice, or late, and all still agree in the end. News is
+//! only rises, so that entries may arrive in any order, twice, or late, and all still agree in the end. Update is
 //! an entry that rose; a gap shows in the digests that neighbours compare, and is mended entry by entry.
 //!
-//! [`Board`] is the state, without I/O or a clock; [`partners`] says who talks to whom.
+//! [`Directory`] is the state, without I/O or a clock; [`peers`] says who talks to whom.
 
-mod board;
-mod partners;
+mod directory;
+mod peers;
 
 use std::collections::BTreeMap;
 use std::hash::Hasher as _;
@@ -14,8 +14,8 @@
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
-pub use board::{Beat, Board};
-pub use partners::{Role, partners};
+pub use directory::{Directory, Heartbeat};
+pub use peers::{Role, peers};
 
 /// A process of the system.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -83,7 +83,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum News {
+pub enum Update {
     Node(Node),
     Server(Server),
     Seats(Seats),
--- a/crates/gossip/src/partners.rs
+++ b/crates/gossip/src/peers.rs
@@ -1,4 +1,4 @@
-//! Who talks to whom: each process has a few partners, named by rendezvous hashing over those that it knows,
+//! Who talks to whom: each process has a few peers, named by rendezvous hashing over those that it knows,
 //! so that a change of one moves few of them.
 
 use crate::{Node, hash};
@@ -19,10 +19,10 @@
     if node.disk.is_some() { Role::Control } else { Role::Front }
 }
 
-/// The partners that a process calls by itself; others may call it. Those with disks all talk to each other,
+/// The peers that a process calls by itself; others may call it. Those with disks all talk to each other,
 /// for they vote together. A gatherer calls one more of them than may be lost at once, its own zone's first,
 /// and a few other gatherers. `reached` leaves out those that it has called in vain of late.
-pub fn partners<'a>(
+pub fn peers<'a>(
     me: &Node, nodes: impl Iterator<Item = &'a Node>, losses: usize, reached: impl Fn(&Node) -> bool,
 ) -> Vec<&'a Node> {
     let others = nodes.filter(|n| n.name != me.name && !n.down && reached(n));
--- a/crates/gossip/tests/news.rs
+++ b/crates/gossip/tests/updates.rs
@@ -1,10 +1,10 @@
-//! Boards under random load: servers come, beat, leave and crash; news is lost, doubled, late and in any order;
-//! processes restart with nothing. What must hold is checked all along, and agreement once the news gets through.
+//! Boards under random load: servers come, beat, leave and crash; updates is lost, doubled, late and in any order;
+//! processes restart with nothing. What must hold is checked all along, and agreement once the updates gets through.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use ashvane_gossip::{Beat, Board, News, Node, Role, State, partners};
+use ashvane_gossip::{Directory, Heartbeat, Node, Role, State, Update, peers};
 
 const BEAT: Duration = Duration::from_millis(1000);
 
@@ -25,40 +25,40 @@
 struct Hall {
     rng: fastrand::Rng,
     now: Duration,
-    boards: Vec<Board>,
+    boards: Vec<Directory>,
     lives: u64,
     /// On their way: to whom, and what.
-    news: Vec<(usize, Vec<News>)>,
+    updates: Vec<(usize, Vec<Update>)>,
     /// Servers that live, with the number of their next beat.
-    servers: BTreeMap<String, (Beat, u64)>,
-    /// Those whose word that they leave was taken in by some board that still has it.
+    servers: BTreeMap<String, (Heartbeat, u64)>,
+    /// Those whose word that they leave was taken in by some directory that still has it.
     leaving: BTreeSet<String>,
     born: u64,
 }
 
 impl Hall {
     fn new(seed: u64, boards: usize) -> Self {
-        let start = |n| Board::new(node(n, n as u64), BEAT, Duration::ZERO);
+        let start = |n| Directory::new(node(n, n as u64), BEAT, Duration::ZERO);
         Hall {
             rng: fastrand::Rng::with_seed(seed),
             now: Duration::ZERO,
             boards: (0..boards).map(start).collect(),
             lives: 1000,
-            news: Vec::new(),
+            updates: Vec::new(),
             servers: BTreeMap::new(),
             leaving: BTreeSet::new(),
             born: 0,
         }
     }
 
-    fn tell(&mut self, from: usize, news: Vec<News>) {
-        if news.is_empty() {
+    fn tell(&mut self, from: usize, updates: Vec<Update>) {
+        if updates.is_empty() {
             return;
         }
         for to in (0..self.boards.len()).filter(|to| *to != from) {
             // Lost, once or twice.
             for _ in 0..self.rng.usize(0..3) {
-                self.news.push((to, news.clone()));
+                self.updates.push((to, updates.clone()));
             }
         }
     }
@@ -67,7 +67,7 @@
         let at = self.rng.usize(0..4);
         let Some((beat, seq)) = self.servers.get_mut(id) else { return };
         *seq += 1;
-        let beat = Beat { state, seq: *seq, ..beat.clone() };
+        let beat = Heartbeat { state, seq: *seq, ..beat.clone() };
         let told = self.boards[at].beat(beat, self.now);
         if state == State::Draining {
             self.leaving.insert(id.to_owned());
@@ -79,9 +79,9 @@
     fn compare(&mut self, a: usize, b: usize) {
         for (from, to) in [(a, b), (b, a)] {
             let parts = self.boards[from].differing(&self.boards[to].buckets());
-            let news = self.boards[from].newer_than(&self.boards[to].summary(parts));
-            for news in news {
-                self.boards[to].learn(news, self.now);
+            let updates = self.boards[from].newer_than(&self.boards[to].summary(parts));
+            for updates in updates {
+                self.boards[to].learn(updates, self.now);
             }
         }
     }
@@ -95,7 +95,7 @@
                 let address = format!("10.1.0.{}:80", self.rng.u32(0..30));
                 let taken = self.servers.values().any(|(b, _)| b.address == address);
                 let service = format!("v{}", self.born % 3);
-                let beat = Beat {
+                let beat = Heartbeat {
                     id: id.clone(),
                     service,
                     address,
@@ -124,7 +124,7 @@
                 let at = self.rng.usize(0..self.boards.len());
                 self.lives += 1;
                 let life = self.lives;
-                self.boards[at] = Board::new(node(at, life), BEAT, self.now);
+                self.boards[at] = Directory::new(node(at, life), BEAT, self.now);
             }
             39..42 if crashes => {
                 let (from, of) = (self.rng.usize(0..self.boards.len()), self.rng.usize(0..self.boards.len()));
@@ -140,23 +140,23 @@
                 let (a, b) = (self.rng.usize(0..self.boards.len()), self.rng.usize(0..self.boards.len()));
                 self.compare(a, b);
             }
-            _ if !self.news.is_empty() => {
-                let at = self.rng.usize(0..self.news.len());
-                let (to, news) = self.news.swap_remove(at);
-                let told: Vec<News> =
-                    news.into_iter().flat_map(|n| self.boards[to].learn(n, self.now)).collect();
+            _ if !self.updates.is_empty() => {
+                let at = self.rng.usize(0..self.updates.len());
+                let (to, updates) = self.updates.swap_remove(at);
+                let told: Vec<Update> =
+                    updates.into_iter().flat_map(|n| self.boards[to].learn(n, self.now)).collect();
                 self.tell(to, told);
             }
             _ => {}
         }
-        if self.news.len() > 200 {
-            self.news.truncate(100);
+        if self.updates.len() > 200 {
+            self.updates.truncate(100);
         }
     }
 
     /// All compare with all until nothing changes.
     fn settle(&mut self) {
-        self.news.clear();
+        self.updates.clear();
         for _ in 0..4 {
             for a in 0..self.boards.len() {
                 for b in 0..a {
@@ -175,8 +175,8 @@
             let before: Vec<BTreeMap<String, State>> = hall.boards.iter().map(states).collect();
             let lives: Vec<u64> = hall.boards.iter().map(|b| b.me().life).collect();
             hall.step(seed % 2 == 0);
-            for (n, board) in hall.boards.iter().enumerate().filter(|(n, b)| b.me().life == lives[*n]) {
-                let now = states(board);
+            for (n, directory) in hall.boards.iter().enumerate().filter(|(n, b)| b.me().life == lives[*n]) {
+                let now = states(directory);
                 assert!(before[n].iter().all(|(id, state)| now.get(id) >= Some(state)), "seed {seed}");
             }
         }
@@ -192,73 +192,74 @@
     }
 }
 
-fn states(board: &Board) -> BTreeMap<String, State> {
-    board.servers().map(|s| (s.id.clone(), s.state)).collect()
+fn states(directory: &Directory) -> BTreeMap<String, State> {
+    directory.servers().map(|s| (s.id.clone(), s.state)).collect()
 }
 
-fn beat(id: &str, address: &str, state: State, seq: u64) -> Beat {
+fn beat(id: &str, address: &str, state: State, seq: u64) -> Heartbeat {
     let (service, zone) = ("v".to_owned(), "z0".to_owned());
-    Beat { id: id.to_owned(), service, address: address.to_owned(), zone, capacity: 2, state, seq }
+    Heartbeat { id: id.to_owned(), service, address: address.to_owned(), zone, capacity: 2, state, seq }
 }
 
 #[test]
 fn late_beats_change_nothing() {
-    let mut board = Board::new(node(0, 1), BEAT, Duration::ZERO);
-    assert_eq!(board.beat(beat("a", "x:1", State::Ready, 5), BEAT).len(), 1);
-    assert!(board.beat(beat("a", "x:1", State::Draining, 6), BEAT).len() == 1);
-    assert!(board.beat(beat("a", "x:1", State::Ready, 4), BEAT).is_empty());
-    assert_eq!(board.server("a").map(|s| s.state), Some(State::Draining));
-    board.left("a", BEAT);
-    assert!(board.beat(beat("a", "x:1", State::Ready, 7), BEAT).is_empty(), "it has ended");
+    let mut directory = Directory::new(node(0, 1), BEAT, Duration::ZERO);
+    assert_eq!(directory.beat(beat("a", "x:1", State::Ready, 5), BEAT).len(), 1);
+    assert!(directory.beat(beat("a", "x:1", State::Draining, 6), BEAT).len() == 1);
+    assert!(directory.beat(beat("a", "x:1", State::Ready, 4), BEAT).is_empty());
+    assert_eq!(directory.server("a").map(|s| s.state), Some(State::Draining));
+    directory.left("a", BEAT);
+    assert!(directory.beat(beat("a", "x:1", State::Ready, 7), BEAT).is_empty(), "it has ended");
     // One that nobody knew: a late beat of it does not bring it to life.
-    board.left("b", BEAT);
-    assert!(board.beat(beat("b", "x:2", State::Ready, 3), BEAT).is_empty());
+    directory.left("b", BEAT);
+    assert!(directory.beat(beat("b", "x:2", State::Ready, 3), BEAT).is_empty());
 }
 
 #[test]
 fn silence_is_told_after_missed_beats_but_not_after_a_standstill() {
-    let mut board = Board::new(node(0, 1), BEAT, Duration::ZERO);
-    board.beat(beat("a", "x:1", State::Ready, 1), Duration::ZERO);
+    let mut directory = Directory::new(node(0, 1), BEAT, Duration::ZERO);
+    directory.beat(beat("a", "x:1", State::Ready, 1), Duration::ZERO);
     let mut at = Duration::ZERO;
     let mut told = Vec::new();
     while told.is_empty() && at < BEAT * 20 {
         at += BEAT / 4;
-        told = board.tick(false, at);
+        told = directory.tick(false, at);
     }
     assert!(at > BEAT * 4 && at < BEAT * 7, "{at:?}");
-    assert!(matches!(&told[..], [News::Server(s)] if s.silent && s.state == State::Ready));
-    assert_eq!(board.beat(beat("a", "x:1", State::Ready, 2), at).len(), 1, "it is heard again");
+    assert!(matches!(&told[..], [Update::Server(s)] if s.silent && s.state == State::Ready));
+    assert_eq!(directory.beat(beat("a", "x:1", State::Ready, 2), at).len(), 1, "it is heard again");
     // This process stood still for longer than everything.
-    assert!(board.tick(false, at + BEAT * 100).is_empty());
+    assert!(directory.tick(false, at + BEAT * 100).is_empty());
 }
 
 #[test]
 fn a_new_server_at_an_address_ends_the_one_that_left_it() {
-    let mut board = Board::new(node(0, 1), BEAT, Duration::ZERO);
-    board.beat(beat("a", "x:1", State::Ready, 1), Duration::ZERO);
-    let told = board.beat(beat("b", "x:1", State::Ready, 1), BEAT);
+    let mut directory = Directory::new(node(0, 1), BEAT, Duration::ZERO);
+    directory.beat(beat("a", "x:1", State::Ready, 1), Duration::ZERO);
+    let told = directory.beat(beat("b", "x:1", State::Ready, 1), BEAT);
     assert_eq!(told.len(), 2);
-    assert_eq!(board.server("a").map(|s| s.state), Some(State::Gone));
+    assert_eq!(directory.server("a").map(|s| s.state), Some(State::Gone));
 }
 
 #[test]
 fn a_process_taken_for_gone_says_that_it_is_there() {
-    let (mut here, mut there) = (Board::new(node(0, 1), BEAT, BEAT), Board::new(node(1, 2), BEAT, BEAT));
-    there.learn(News::Node(here.me().clone()), BEAT);
+    let (mut here, mut there) =
+        (Directory::new(node(0, 1), BEAT, BEAT), Directory::new(node(1, 2), BEAT, BEAT));
+    there.learn(Update::Node(here.me().clone()), BEAT);
     let told = there.node_lost("n0", BEAT);
     let answer = told.into_iter().flat_map(|n| here.learn(n, BEAT)).collect::<Vec<_>>();
-    for news in answer {
-        there.learn(news, BEAT);
+    for updates in answer {
+        there.learn(updates, BEAT);
     }
     assert!(there.node("n0").is_some_and(|n| !n.down && n.age == 2));
 }
 
-/// Guards against a set of partners that leaves somebody alone, or that grows with the number of processes.
+/// Guards against a set of peers that leaves somebody alone, or that grows with the number of processes.
 #[test]
 fn partners_are_few_reach_all_and_move_little() {
     let nodes: Vec<Node> = (0..60).map(|n| node(n, n as u64)).collect();
     let of = |me: &Node, nodes: &[Node]| -> BTreeSet<String> {
-        partners(me, nodes.iter(), 2, |_| true).into_iter().map(|n| n.name.clone()).collect()
+        peers(me, nodes.iter(), 2, |_| true).into_iter().map(|n| n.name.clone()).collect()
     };
     let (mut called, mut moved) = (BTreeSet::new(), 0);
     let without: Vec<Node> = nodes.iter().filter(|n| n.name != "n17").cloned().collect();
@@ -288,9 +289,9 @@
     for (earlier, later) in [(1, 2), (2, 1)] {
         let disk = |life: u64| Some(format!("disk of life {life}").into());
         let own = |life| Node { disk: disk(life), ..node(3, life) };
-        let mut other = Board::new(node(0, 9), BEAT, Duration::ZERO);
-        other.learn(News::Node(own(earlier)), Duration::ZERO);
-        let mut back = Board::new(own(later), BEAT, Duration::ZERO);
+        let mut other = Directory::new(node(0, 9), BEAT, Duration::ZERO);
+        other.learn(Update::Node(own(earlier)), Duration::ZERO);
+        let mut back = Directory::new(own(later), BEAT, Duration::ZERO);
         for _ in 0..3 {
             let (mine, theirs) = (back.summary(u32::MAX), other.summary(u32::MAX));
             back.newer_than(&theirs).into_iter().for_each(|n| drop(other.learn(n, Duration::ZERO)));
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_gossip::{Beat, Board, Digest, News, Node, Server, State, partners};
+use ashvane_gossip::{Digest, Directory, Heartbeat, Node, Server, State, Update, peers};
 use ashvane_quorum::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
@@ -35,7 +35,7 @@
 const WANT_AGAIN: Duration = Duration::from_millis(400);
 /// How often the servers that are known are kept on disk, where they change.
 const HINT: Duration = Duration::from_secs(2);
-/// Digests that differ in a row, after which news has been missed.
+/// Digests that differ in a row, after which updates has been missed.
 const DIFFERS: u32 = 2;
 
 struct Confirm {
@@ -49,7 +49,7 @@
     pub log: Logger,
     started: Instant,
     seeds: RefCell<Vec<String>>,
-    board: RefCell<Board>,
+    directory: RefCell<Directory>,
     links: RefCell<Links>,
     /// The newest configuration that a majority of disks is known to hold.
     filed: RefCell<Option<Filed>>,
@@ -71,7 +71,7 @@
     /// The link over which this gatherer is told what changes.
     feed: Cell<Option<u64>>,
     compared: Cell<Instant>,
-    /// When the servers were last kept on disk, and how often the board had changed by then.
+    /// When the servers were last kept on disk, and how often the directory had changed by then.
     hinted: Cell<(Instant, u64)>,
     /// A server has left since then.
     left: Cell<bool>,
@@ -98,9 +98,9 @@
         net: Rc<dyn Net>, log: Logger,
     ) -> Rc<Self> {
         let started = Instant::now();
-        let mut board = Board::new(me, settings.beat_every, Duration::ZERO);
+        let mut directory = Directory::new(me, settings.beat_every, Duration::ZERO);
         if let Some(register) = &register {
-            board.learn(News::Seats(register.seats()), Duration::ZERO);
+            directory.learn(Update::Seats(register.seats()), Duration::ZERO);
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
@@ -110,7 +110,7 @@
             settings,
             log,
             started,
-            board: RefCell::new(board),
+            directory: RefCell::new(directory),
             links,
             filed,
             config,
@@ -174,12 +174,12 @@
     // What is known, and how it is told on.
 
     /// Tells others what changed here; `from` is where it came from.
-    fn spread(&self, news: Vec<News>, from: Option<u64>) {
-        if news.is_empty() {
+    fn spread(&self, updates: Vec<Update>, from: Option<u64>) {
+        if updates.is_empty() {
             return;
         }
-        self.follow(&news);
-        if news.iter().any(|n| matches!(n, News::Server(s) if s.state > State::Ready)) {
+        self.follow(&updates);
+        if updates.iter().any(|n| matches!(n, Update::Server(s) if s.state > State::Ready)) {
             self.left.set(true);
         }
         let mut links = self.links.borrow_mut();
@@ -194,22 +194,22 @@
         };
         let numbers: Vec<u64> =
             links.iter().filter(|(n, l)| Some(*n) != from && told(*n, l)).map(|(n, _)| n).collect();
-        links.send_all(&numbers, &Message::News { number: 0, news });
+        links.send_all(&numbers, &Message::Update { number: 0, updates });
     }
 
     /// Hands what changed to the data plane.
-    fn follow(&self, news: &[News]) {
+    fn follow(&self, updates: &[Update]) {
         let Some(plane) = &self.plane else { return };
-        let board = self.board.borrow();
-        plane.servers_changed(&board, news);
-        plane.gatherers_are(board.fronts());
+        let directory = self.directory.borrow();
+        plane.servers_changed(&directory, updates);
+        plane.gatherers_are(directory.fronts());
     }
 
-    fn learn(&self, news: Vec<News>, from: Option<u64>) {
+    fn learn(&self, updates: Vec<Update>, from: Option<u64>) {
         let now = self.now();
-        let told: Vec<News> = {
-            let mut board = self.board.borrow_mut();
-            news.into_iter().flat_map(|n| board.learn(n, now)).collect()
+        let told: Vec<Update> = {
+            let mut directory = self.directory.borrow_mut();
+            updates.into_iter().flat_map(|n| directory.learn(n, now)).collect()
         };
         self.spread(told, from);
     }
@@ -252,12 +252,12 @@
         self.compare(&mut links, &peers);
     }
 
-    /// A neighbour's digest: where it differs twice in a row, news has been missed; before that it may be on its
+    /// A neighbour's digest: where it differs twice in a row, updates has been missed; before that it may be on its
     /// way. The one with the lower name begins, or the one that has just come.
     fn compared_with(&self, number: u64, digest: Digest) {
         self.want(number, digest.version);
-        let board = self.board.borrow();
-        let mine = board.digest(self.version());
+        let directory = self.directory.borrow();
+        let mine = directory.digest(self.version());
         let mut links = self.links.borrow_mut();
         let Some(link) = links.get_mut(number) else { return };
         let control_node = link.peer.disk.is_some();
@@ -270,9 +270,9 @@
         }
         link.differs += 1;
         let new_here = control_node && !self.synced.get();
-        if new_here || (link.differs >= DIFFERS && board.me().name < link.peer.name) {
+        if new_here || (link.differs >= DIFFERS && directory.me().name < link.peer.name) {
             link.differs = 0;
-            links.send(number, &Message::Buckets(board.buckets()));
+            links.send(number, &Message::Buckets(directory.buckets()));
         }
     }
 
@@ -295,23 +295,23 @@
 
     /// A server has said something. One that leaves is acknowledged only once a majority of those that hear
     /// servers knows it, so that it does not depend on this process.
-    pub async fn beat(self: &Rc<Self>, beat: Beat) -> bool {
+    pub async fn beat(self: &Rc<Self>, beat: Heartbeat) -> bool {
         let leaves = beat.state > State::Ready;
         let id = beat.id.clone();
-        let told = self.board.borrow_mut().beat(beat, self.now());
+        let told = self.directory.borrow_mut().beat(beat, self.now());
         self.spread(told, None);
         !leaves || self.confirm(&id).await
     }
 
     pub async fn left(self: &Rc<Self>, id: &str) -> bool {
-        let told = self.board.borrow_mut().left(id, self.now());
+        let told = self.directory.borrow_mut().left(id, self.now());
         self.spread(told, None);
         self.confirm(id).await
     }
 
     async fn confirm(self: &Rc<Self>, id: &str) -> bool {
-        let Some(server) = self.board.borrow().server(id).cloned() else { return false };
-        let need = self.board.borrow().seats().majority().saturating_sub(1);
+        let Some(server) = self.directory.borrow().server(id).cloned() else { return false };
+        let need = self.directory.borrow().seats().majority().saturating_sub(1);
         if need == 0 {
             return true;
         }
@@ -324,7 +324,8 @@
             let mut links = self.links.borrow_mut();
             let control_nodes: Vec<u64> =
                 links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(number, _)| number).collect();
-            links.send_all(&control_nodes, &Message::News { number, news: vec![News::Server(server)] });
+            links
+                .send_all(&control_nodes, &Message::Update { number, updates: vec![Update::Server(server)] });
         }
         let confirmed = tokio::time::timeout(CONFIRMED, confirmed).await;
         self.confirms.borrow_mut().remove(&number);
@@ -356,7 +357,7 @@
     fn ask(self: &Rc<Self>, asks: Asks) {
         let Some(register) = &self.register else { return };
         for (seat, number, ask) in asks {
-            if seat.address == self.board.borrow().me().address {
+            if seat.address == self.directory.borrow().me().address {
                 let (agent, own) = (self.clone(), register.ask_own(&ask));
                 tokio::task::spawn_local(async move {
                     if let Some(told) = own.await {
@@ -376,7 +377,7 @@
         let Some(register) = &self.register else { return };
         let (asks, seats) = register.told(number, told);
         if let Some(seats) = seats {
-            self.learn(vec![News::Seats(seats)], None);
+            self.learn(vec![Update::Seats(seats)], None);
         }
         self.ask(asks);
     }
@@ -389,7 +390,7 @@
         };
         let Some(register) = &self.register else { return Put::Unclear };
         let filed = Filed { version: config.version, text: packed::pack(text).into() };
-        let seats = self.board.borrow().seats().clone();
+        let seats = self.directory.borrow().seats().clone();
         if seats.seats.is_empty() {
             return Put::Unclear;
         }
@@ -407,7 +408,7 @@
     /// The newest configuration that a majority of disks holds. None: no majority answers.
     pub async fn newest(self: &Rc<Self>) -> Option<Option<Filed>> {
         let register = self.register.as_ref()?;
-        let seats = self.board.borrow().seats().clone();
+        let seats = self.directory.borrow().seats().clone();
         if seats.seats.is_empty() {
             return None;
         }
@@ -442,48 +443,49 @@
     // Duties.
 
     fn lives(&self, node: &Node) -> bool {
-        let here = node.name == self.board.borrow().me().name;
+        let here = node.name == self.directory.borrow().me().name;
         here || (!node.down && self.links.borrow().to(&node.name).is_some())
     }
 
     /// Whether this process is the first live one with a disk, by name, and sees a majority of the disks.
     fn is_first(&self) -> bool {
-        let board = self.board.borrow();
-        let control_nodes: Vec<&Node> = board.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
-        let seated = |n: &&&Node| n.disk.as_ref().is_some_and(|d| board.seats().has(d));
+        let directory = self.directory.borrow();
+        let control_nodes: Vec<&Node> =
+            directory.nodes().filter(|n| n.disk.is_some() && self.lives(n)).collect();
+        let seated = |n: &&&Node| n.disk.as_ref().is_some_and(|d| directory.seats().has(d));
         let first = control_nodes.iter().map(|n| &n.name).min();
-        first == Some(&board.me().name)
-            && control_nodes.iter().filter(seated).count() >= board.seats().majority()
+        first == Some(&directory.me().name)
+            && control_nodes.iter().filter(seated).count() >= directory.seats().majority()
     }
 
     /// The disks that live, as seen from here.
     fn live_seats(&self) -> Vec<Seat> {
         let seat = |n: &Node| Some(Seat { disk: n.disk.clone()?, address: n.address.clone() });
-        self.board.borrow().nodes().filter(|n| self.lives(n)).filter_map(seat).collect()
+        self.directory.borrow().nodes().filter(|n| self.lives(n)).filter_map(seat).collect()
     }
 
     /// Sees to it that the seats are those of disks that live, where that is this process's duty.
     fn look_at_seats(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        let (now, board) = (self.now(), self.board.borrow());
+        let (now, directory) = (self.now(), self.directory.borrow());
         let live = self.live_seats();
         let mut watch = self.watch.borrow_mut();
-        watch.look(now, board.seats(), &live);
-        let me = board.me().disk.clone().unwrap_or_default();
-        let next = watch.next(now, &me, board.seats(), &live).filter(|_| !self.changing.get());
+        watch.look(now, directory.seats(), &live);
+        let me = directory.me().disk.clone().unwrap_or_default();
+        let next = watch.next(now, &me, directory.seats(), &live).filter(|_| !self.changing.get());
         let Some(next) = next else { return };
-        info!(self.log, "the set of disks is to change"; "epoch" => board.seats().epoch + 1,
+        info!(self.log, "the set of disks is to change"; "epoch" => directory.seats().epoch + 1,
             "disks" => next.iter().map(|s| &*s.disk).collect::<Vec<_>>().join(" "));
-        drop((board, watch));
+        drop((directory, watch));
         self.changing.set(true);
-        let seats = self.board.borrow().seats().clone();
+        let seats = self.directory.borrow().seats().clone();
         let (asks, outcome) = register.change(seats, next);
         self.ask(asks);
         let agent = self.clone();
         tokio::task::spawn_local(async move {
             if let Ok(Outcome::Seated(seats)) = outcome.await {
                 info!(agent.log, "the set of disks has changed"; "epoch" => seats.epoch);
-                agent.learn(vec![News::Seats(seats)], None);
+                agent.learn(vec![Update::Seats(seats)], None);
             }
             agent.changing.set(false);
         });
@@ -510,23 +512,23 @@
         let now = Instant::now();
         self.unreached.borrow_mut().retain(|_, until| *until > now);
         let wanted: Vec<String> = {
-            let (board, unreached, links) =
-                (self.board.borrow(), self.unreached.borrow(), self.links.borrow());
+            let (directory, unreached, links) =
+                (self.directory.borrow(), self.unreached.borrow(), self.links.borrow());
             let reached = |n: &Node| self.is_control_node() || !unreached.contains_key(&n.address);
-            let chosen = partners(board.me(), board.nodes(), self.settings.losses, reached);
+            let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, reached);
             let missing = chosen.iter().filter(|n| links.to(&n.name).is_none());
             let mut wanted: Vec<String> = missing.map(|n| n.address.clone()).collect();
             // One with a disk that is down may be back with nothing but seeds that are gone: the others look for it.
-            let down = board.nodes().filter(|n| self.is_control_node() && n.down && n.disk.is_some());
+            let down = directory.nodes().filter(|n| self.is_control_node() && n.down && n.disk.is_some());
             let down = down.filter(|n| !unreached.contains_key(&n.address) && links.to(&n.name).is_none());
             wanted.extend(down.map(|n| n.address.clone()));
             let control_nodes = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
-            if control_nodes == 0 || (self.is_control_node() && board.seats().epoch == 0) {
-                let own = &board.me().address;
+            if control_nodes == 0 || (self.is_control_node() && directory.seats().epoch == 0) {
+                let own = &directory.me().address;
                 wanted
                     .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
                 // None of those that one would choose answers: any other may.
-                let others = board.nodes().filter(|n| n.disk.is_some() && links.to(&n.name).is_none());
+                let others = directory.nodes().filter(|n| n.disk.is_some() && links.to(&n.name).is_none());
                 wanted.extend(others.filter(|n| &n.address != own).map(|n| n.address.clone()));
             }
             wanted
@@ -548,7 +550,7 @@
             names
         };
         for name in lost {
-            let told = self.board.borrow_mut().node_lost(&name, self.now());
+            let told = self.directory.borrow_mut().node_lost(&name, self.now());
             if !told.is_empty() {
                 info!(self.log, "does not answer"; "node" => &name);
             }
@@ -556,14 +558,14 @@
         }
     }
 
-    /// A gatherer has one that tells it what changes: the first of its partners with a disk that is linked.
+    /// A gatherer has one that tells it what changes: the first of its peers with a disk that is linked.
     fn look_at_feed(&self) {
         if self.is_control_node() {
             return;
         }
-        let board = self.board.borrow();
+        let directory = self.directory.borrow();
         let mut links = self.links.borrow_mut();
-        let chosen = partners(board.me(), board.nodes(), self.settings.losses, |_| true);
+        let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, |_| true);
         let linked = chosen.iter().filter(|n| n.disk.is_some()).find_map(|n| links.to(&n.name));
         let any = || links.iter().find(|(_, l)| l.peer.disk.is_some()).map(|(n, _)| n);
         let feed = linked.or_else(any);
@@ -574,7 +576,7 @@
             }
             if let Some(feed) = feed {
                 links.send(feed, &Message::Feed(true));
-                links.send(feed, &Message::Buckets(board.buckets()));
+                links.send(feed, &Message::Buckets(directory.buckets()));
             }
         }
     }
@@ -597,7 +599,7 @@
     pub fn tick(self: &Rc<Self>) {
         self.look_at_links();
         let first = self.is_control_node() && self.is_first();
-        let told = self.board.borrow_mut().tick(first, self.now());
+        let told = self.directory.borrow_mut().tick(first, self.now());
         self.spread(told, None);
         self.look_at_register();
         self.look_at_seats();
@@ -618,23 +620,23 @@
 
     /// Whether a server is known here as one that is ready and has been heard of late.
     pub fn offers_work_to(&self, id: &str) -> bool {
-        self.board.borrow().server(id).is_some_and(|s| s.state == State::Ready && !s.silent)
+        self.directory.borrow().server(id).is_some_and(|s| s.state == State::Ready && !s.silent)
     }
 
     /// All that is known here, and the version in force, in a few figures: alike where they are.
     pub fn digest(&self) -> Digest {
-        self.board.borrow().digest(self.version())
+        self.directory.borrow().digest(self.version())
     }
 
     /// All that this process knows, for operators.
     pub fn state(&self) -> Value {
-        let (board, links) = (self.board.borrow(), self.links.borrow());
+        let (directory, links) = (self.directory.borrow(), self.links.borrow());
         let linked = |name: &str| links.to(name).is_some();
         let feed = self.feed.get().and_then(|n| links.get(n)).map(|l| l.peer.name.clone());
-        let nodes: Vec<Value> = board
+        let nodes: Vec<Value> = directory
             .nodes()
             .map(|n| {
-                let state = match (n.name == board.me().name, n.down, linked(&n.name)) {
+                let state = match (n.name == directory.me().name, n.down, linked(&n.name)) {
                     (true, ..) => "this one",
                     (_, true, _) => "down",
                     (_, _, true) => "linked",
@@ -644,7 +646,7 @@
                     "control": n.control, "disk": n.disk, "front": n.front})
             })
             .collect();
-        let servers: Vec<Value> = board
+        let servers: Vec<Value> = directory
             .servers()
             .filter(|s| s.state < State::Gone)
             .map(|s| {
@@ -653,19 +655,19 @@
             })
             .collect();
         let seats: Vec<Value> =
-            board.seats().seats.iter().map(|s| json!({"disk": s.disk, "address": s.address})).collect();
+            directory.seats().seats.iter().map(|s| json!({"disk": s.disk, "address": s.address})).collect();
         let since = self.in_force_since.get().map(|at| at.elapsed().as_secs());
         let said = self.said().into_iter();
         let said: Vec<Value> = said
             .map(|(cause, (lines, bytes))| json!({"about": cause, "lines": lines, "bytes": bytes}))
             .collect();
         json!({
-            "process": {"node": board.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
+            "process": {"node": directory.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
                 "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
             "configuration": {"version": self.version(), "in force for s": since,
                 "on this disk": self.register.as_ref().and_then(|r| r.filed()).map(|f| f.version)},
             "duties": [
-                {"duty": "set of disks", "epoch": board.seats().epoch, "held here": self.has_seats_duty()},
+                {"duty": "set of disks", "epoch": directory.seats().epoch, "held here": self.has_seats_duty()},
                 {"duty": "servers of lost control_nodes", "epoch": null, "held here": self.is_control_node() && self.is_first()},
             ],
             "said": said, "disks": seats, "nodes": nodes, "servers": servers,
@@ -674,37 +676,37 @@
     }
 
     fn has_seats_duty(&self) -> bool {
-        let board = self.board.borrow();
-        let holder = duty::holder(board.seats(), &self.live_seats());
-        holder.is_some_and(|s| Some(&s.disk) == board.me().disk.as_ref())
+        let directory = self.directory.borrow();
+        let holder = duty::holder(directory.seats(), &self.live_seats());
+        holder.is_some_and(|s| Some(&s.disk) == directory.me().disk.as_ref())
     }
 
     /// Servers that were known before a restart: until they beat, better than none. Some may have left since, so they
     /// count as silent here, and whatever others know of them stands above it.
     pub fn recall(&self, servers: Vec<Server>) {
-        let recalled = servers.into_iter().map(|s| News::Server(Server { seq: 0, silent: true, ..s }));
+        let recalled = servers.into_iter().map(|s| Update::Server(Server { seq: 0, silent: true, ..s }));
         self.learn(recalled.collect(), None);
     }
 
     fn look_at_hints(&self) {
         let Some(register) = &self.register else { return };
-        let (now, board) = (Instant::now(), self.board.borrow());
+        let (now, directory) = (Instant::now(), self.directory.borrow());
         let (at, changes) = self.hinted.get();
         // One that left is struck out at once, lest a restart bring it back.
-        if (at + HINT <= now || self.left.take()) && changes != board.changes() {
-            self.hinted.set((now, board.changes()));
-            let known = board.servers().filter(|s| s.state < State::Gone);
+        if (at + HINT <= now || self.left.take()) && changes != directory.changes() {
+            self.hinted.set((now, directory.changes()));
+            let known = directory.servers().filter(|s| s.state < State::Gone);
             register.disk().hint(known.cloned().collect());
         }
     }
 
     /// A line of counters.
     pub fn count(&self) {
-        let (board, links) = (self.board.borrow(), self.links.borrow());
+        let (directory, links) = (self.directory.borrow(), self.links.borrow());
         let c = &links.counters;
-        info!(self.log, "counters"; "nodes" => board.nodes().filter(|n| !n.down).count(),
-            "servers" => board.servers().filter(|s| s.state < State::Gone).count(),
-            "links" => links.iter().count(), "version" => self.version(), "epoch" => board.seats().epoch,
+        info!(self.log, "counters"; "nodes" => directory.nodes().filter(|n| !n.down).count(),
+            "servers" => directory.servers().filter(|s| s.state < State::Gone).count(),
+            "links" => links.iter().count(), "version" => self.version(), "epoch" => directory.seats().epoch,
             "lines_in" => c.lines_in, "unread" => c.unread, "lost" => c.lost,
             "said" => c.out.iter().map(|(cause, (lines, bytes))| format!("{cause}:{lines}:{bytes}"))
                 .collect::<Vec<_>>().join(","));
@@ -716,7 +718,7 @@
 
 impl Listener for Agent {
     fn me(&self) -> Node {
-        self.board.borrow().me().clone()
+        self.directory.borrow().me().clone()
     }
 
     fn net(&self) -> &dyn Net {
@@ -733,7 +735,7 @@
             let Some(link) = links.get_mut(number) else { return };
             let (peer, ours) = (link.peer.clone(), link.ours);
             // Of two connections to one process, both sides keep the one that the lower address called.
-            let we_call = self.board.borrow().me().address < peer.address;
+            let we_call = self.directory.borrow().me().address < peer.address;
             let others: Vec<(u64, bool)> = links
                 .iter()
                 .filter(|(other, l)| *other != number && l.peer.name == peer.name)
@@ -747,7 +749,7 @@
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
         let control_node = peer.disk.is_some();
-        self.learn(vec![News::Node(peer)], Some(number));
+        self.learn(vec![Update::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
         if let Some(register) = self.register.as_ref().filter(|_| control_node) {
             self.ask(register.look(true));
@@ -757,8 +759,8 @@
     fn heard(self: &Rc<Self>, number: u64, line: Message) {
         match line {
             Message::Hello(_) | Message::Packed(_) => {}
-            Message::News { number: asked, news } => {
-                self.learn(news, Some(number));
+            Message::Update { number: asked, updates } => {
+                self.learn(updates, Some(number));
                 if asked > 0 {
                     self.links.borrow_mut().send(number, &Message::Got { number: asked });
                 }
@@ -772,23 +774,23 @@
             }
             Message::Buckets(buckets) => {
                 let summary = {
-                    let board = self.board.borrow();
-                    let parts = board.differing(&buckets);
-                    (parts != 0 || buckets.epoch != board.seats().epoch).then(|| board.summary(parts))
+                    let directory = self.directory.borrow();
+                    let parts = directory.differing(&buckets);
+                    (parts != 0 || buckets.epoch != directory.seats().epoch).then(|| directory.summary(parts))
                 };
                 if let Some(summary) = summary {
                     self.links.borrow_mut().send(number, &Message::Summary(summary));
                 }
             }
             Message::Summary(summary) => {
-                let (news, behind, mine) = {
-                    let board = self.board.borrow();
-                    let behind = board.is_behind(&summary);
-                    (board.newer_than(&summary), behind, behind.then(|| board.summary(summary.parts)))
+                let (updates, behind, mine) = {
+                    let directory = self.directory.borrow();
+                    let behind = directory.is_behind(&summary);
+                    (directory.newer_than(&summary), behind, behind.then(|| directory.summary(summary.parts)))
                 };
                 let mut links = self.links.borrow_mut();
-                if !news.is_empty() {
-                    links.send(number, &Message::News { number: 0, news });
+                if !updates.is_empty() {
+                    links.send(number, &Message::Update { number: 0, updates });
                 }
                 if let Some(mine) = mine {
                     links.send(number, &Message::Summary(mine));
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_gossip::{Beat, State as ServerState};
+use ashvane_gossip::{Heartbeat, State as ServerState};
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, Path, Request, State};
@@ -33,7 +33,7 @@
 enum Call {
     /// Where this can be settled, if not here.
     Where(oneshot::Sender<Option<String>>),
-    Beat(Beat, oneshot::Sender<bool>),
+    Heartbeat(Heartbeat, oneshot::Sender<bool>),
     Left(String, oneshot::Sender<bool>),
     Put(Bytes, oneshot::Sender<Put>),
     Get(oneshot::Sender<Option<Option<Arc<str>>>>),
@@ -96,11 +96,11 @@
     answer
 }
 
-fn beat(id: String, body: &[u8]) -> Result<Beat, Vec<String>> {
+fn beat(id: String, body: &[u8]) -> Result<Heartbeat, Vec<String>> {
     let value: Value = serde_json::from_slice(body).map_err(|e| vec![format!("the whole: {e}")])?;
     let at = At::root(&value);
     let state = at.get("state");
-    let beat = Beat {
+    let beat = Heartbeat {
         id,
         service: at.get("service").name(),
         address: at.get("address").name(),
@@ -128,7 +128,7 @@
         Ok(beat) => beat,
         Err(faults) => return tell(StatusCode::BAD_REQUEST, &json!({"faults": faults})),
     };
-    match control.ask(|reply| Call::Beat(beat, reply)).await {
+    match control.ask(|reply| Call::Heartbeat(beat, reply)).await {
         Some(true) => tell(StatusCode::OK, &json!({"beat-target": control.beat_target})),
         _ => no_majority(),
     }
@@ -170,7 +170,7 @@
 
 async fn settle(agent: Rc<Agent>, call: Call) {
     match call {
-        Call::Beat(beat, reply) => drop(reply.send(agent.beat(beat).await)),
+        Call::Heartbeat(beat, reply) => drop(reply.send(agent.beat(beat).await)),
         Call::Left(id, reply) => drop(reply.send(agent.left(&id).await)),
         Call::Where(reply) => drop(reply.send(agent.settled_at())),
         Call::State(reply) => drop(reply.send(agent.state())),
--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ashvane::{Effect, Gatherer, Health, Host, Outcome, Settings as Start, VerticalSettings};
-use ashvane_gossip::{Board, News, Server, State};
+use ashvane_gossip::{Directory, Server, State, Update};
 use ashvane_quota::{Limit, Sharers, Tries, connections};
 use axum::http::HeaderValue;
 use bytes::Bytes;
@@ -297,17 +297,17 @@
         self.tell(|g| g.fleet_is(u32::try_from(count).ok()));
     }
 
-    pub fn servers_changed(self: &Rc<Self>, board: &Board, news: &[News]) {
-        let services: BTreeSet<&str> = news
+    pub fn servers_changed(self: &Rc<Self>, directory: &Directory, updates: &[Update]) {
+        let services: BTreeSet<&str> = updates
             .iter()
             .filter_map(|n| match n {
-                News::Server(s) => Some(s.service.as_str()),
+                Update::Server(s) => Some(s.service.as_str()),
                 _ => None,
             })
             .collect();
         if !services.is_empty() {
             let listed: Vec<&Server> =
-                board.servers().filter(|s| services.contains(s.service.as_str())).collect();
+                directory.servers().filter(|s| services.contains(s.service.as_str())).collect();
             self.list(&listed);
         }
     }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_gossip::{Buckets, Digest, News, Node, Summary};
+use ashvane_gossip::{Buckets, Digest, Node, Summary, Update};
 use ashvane_quorum::{Ask, Filed, Told};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
@@ -33,9 +33,9 @@
     /// The first line both ways.
     Hello(Node),
     /// Newer entries; where numbered, an answer is wanted once they are taken in.
-    News {
+    Update {
         number: u64,
-        news: Vec<News>,
+        updates: Vec<Update>,
     },
     Got {
         number: u64,
@@ -68,7 +68,7 @@
     pub fn cause(&self) -> &'static str {
         match self {
             Message::Hello(_) | Message::Feed(_) => "links",
-            Message::News { .. } | Message::Got { .. } => "news",
+            Message::Update { .. } | Message::Got { .. } => "updates",
             Message::Digest(_) => "digests",
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
--- a/crates/node/tests/curves.rs
+++ b/crates/node/tests/curves.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_gossip::{Beat, State};
+use ashvane_gossip::{Heartbeat, State};
 use ashvane_node::agent::Put;
 use simulation::{Machine, Simulation, configuration, ms, play};
 use tokio::time::{Instant, sleep};
@@ -23,8 +23,8 @@
     servers: usize,
 }
 
-fn beat(n: usize, state: State, seq: u64) -> Beat {
-    Beat {
+fn beat(n: usize, state: State, seq: u64) -> Heartbeat {
+    Heartbeat {
         id: format!("i-{n}"),
         service: format!("s{}", n % 40),
         address: format!("10.9.{}.{}:8080", n / 250, n % 250),
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -1,4 +1,4 @@
-//! A simulation of machines: whole processes of the system, each with its register, board, links and duties as in service,
+//! A simulation of machines: whole processes of the system, each with its register, directory, links and duties as in service,
 //! on a network and on disks that are played. Time is tokio's own, paused: it goes on where all wait.
 
 use std::cell::{Cell, RefCell};
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_gossip::{Beat, State};
+use ashvane_gossip::{Heartbeat, State};
 use ashvane_node::agent::Put;
 use simulation::{Machine, Simulation, configuration, ms, play, say};
 use tokio::task::spawn_local;
@@ -165,7 +165,7 @@
         spawn_local(async move {
             for seq in 1..=lives + 1 {
                 let state = if seq > lives { State::Draining } else { State::Ready };
-                let beat = Beat {
+                let beat = Heartbeat {
                     id: id.clone(),
                     service: "s".into(),
                     address: address.clone(),
