--- /dev/null
+++ b/crates/node/src/agent/connections.rs
@@ -0,0 +1,216 @@
+//! Whom this process connects to, who feeds it, and what it takes from each message.
+
+use super::*;
+
+impl Agent {
+    pub(super) fn call(self: &Rc<Self>, address: String) {
+        let now = Instant::now();
+        let mut dialled = self.dialled.borrow_mut();
+        if dialled.get(&address).is_some_and(|at| *at + DIAL_AGAIN > now) {
+            return;
+        }
+        dialled.insert(address.clone(), now);
+        let agent = self.clone();
+        tokio::task::spawn_local(async move {
+            if !dial(address.clone(), agent.clone()).await {
+                agent.unreached.borrow_mut().insert(address, Instant::now() + UNREACHED);
+            }
+        });
+    }
+
+    pub(super) fn look_at_links(self: &Rc<Self>) {
+        let now = Instant::now();
+        self.unreached.borrow_mut().retain(|_, until| *until > now);
+        let wanted: Vec<String> = {
+            let (directory, unreached, links) =
+                (self.directory.borrow(), self.unreached.borrow(), self.links.borrow());
+            let reached = |n: &Node| self.is_control_node() || !unreached.contains_key(&n.address);
+            let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, reached);
+            let missing = chosen.iter().filter(|n| links.to(&n.name).is_none());
+            let mut wanted: Vec<String> = missing.map(|n| n.address.clone()).collect();
+            // One with a disk that is down may be back with nothing but seeds that are gone: the others look for it.
+            let down = directory.nodes().filter(|n| self.is_control_node() && n.down && n.disk.is_some());
+            let down = down.filter(|n| !unreached.contains_key(&n.address) && links.to(&n.name).is_none());
+            wanted.extend(down.map(|n| n.address.clone()));
+            let control_nodes = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
+            if control_nodes == 0 || (self.is_control_node() && directory.seats().epoch == 0) {
+                let own = &directory.me().address;
+                wanted
+                    .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
+                // None of those that one would choose answers: any other may.
+                let others = directory.nodes().filter(|n| n.disk.is_some() && links.to(&n.name).is_none());
+                wanted.extend(others.filter(|n| &n.address != own).map(|n| n.address.clone()));
+            }
+            wanted
+        };
+        wanted.into_iter().for_each(|address| self.call(address));
+        self.look_at_feed();
+        let lost: Vec<String> = {
+            let links = self.links.borrow();
+            let mut lost = self.lost.borrow_mut();
+            for (name, since) in lost.iter_mut() {
+                match links.to(name) {
+                    Some(_) => *since = None,
+                    None => *since = since.or(Some(now)),
+                }
+            }
+            let gone = |since: &Option<Instant>| since.is_some_and(|at| at + LOST_AFTER < now);
+            let names = lost.iter().filter(|(_, since)| gone(since)).map(|(name, _)| name.clone()).collect();
+            lost.retain(|_, since| !gone(since));
+            names
+        };
+        for name in lost {
+            let told = self.directory.borrow_mut().node_lost(&name, self.now());
+            if !told.is_empty() {
+                info!(self.log, "does not answer"; "node" => &name);
+            }
+            self.spread(told, None);
+        }
+    }
+
+    /// A gatherer has one that tells it what changes: the first of its peers with a disk that is linked.
+    pub(super) fn look_at_feed(&self) {
+        if self.is_control_node() {
+            return;
+        }
+        let directory = self.directory.borrow();
+        let mut links = self.links.borrow_mut();
+        let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, |_| true);
+        let linked = chosen.iter().filter(|n| n.disk.is_some()).find_map(|n| links.to(&n.name));
+        let any = || links.iter().find(|(_, l)| l.peer.disk.is_some()).map(|(n, _)| n);
+        let feed = linked.or_else(any);
+        let before = self.feed.replace(feed);
+        if before != feed {
+            if let Some(before) = before {
+                links.send(before, &Message::Feed(false));
+            }
+            if let Some(feed) = feed {
+                links.send(feed, &Message::Feed(true));
+                links.send(feed, &Message::Buckets(directory.buckets()));
+            }
+        }
+    }
+
+    /// The settings file has changed: of it only the machines to begin with hold from now on.
+    pub fn reloaded(&self, settings: &Settings) {
+        if *self.seeds.borrow() != settings.seeds {
+            info!(self.log, "other machines to begin with"; "seeds" => settings.seeds.join(" "));
+            self.seeds.borrow_mut().clone_from(&settings.seeds);
+        }
+    }
+
+    /// The addresses at which the machines of the settings file reach each other.
+    pub fn seed_addresses(&self) -> Vec<String> {
+        let ip = |seed: &String| seed.rsplit_once(':').map(|(ip, _)| ip.to_owned());
+        let port = self.settings.ports.0;
+        self.seeds.borrow().iter().filter_map(ip).map(|ip| format!("{ip}:{port}")).collect()
+    }
+}
+
+impl Listener for Agent {
+    fn me(&self) -> Node {
+        self.directory.borrow().me().clone()
+    }
+
+    fn net(&self) -> &dyn Net {
+        &*self.net
+    }
+
+    fn links(&self) -> &RefCell<Links> {
+        &self.links
+    }
+
+    fn linked(self: &Rc<Self>, number: u64) {
+        let peer = {
+            let mut links = self.links.borrow_mut();
+            let Some(link) = links.get_mut(number) else { return };
+            let (peer, ours) = (link.peer.clone(), link.ours);
+            // Of two connections to one process, both sides keep the one that the lower address called.
+            let we_call = self.directory.borrow().me().address < peer.address;
+            let others: Vec<(u64, bool)> = links
+                .iter()
+                .filter(|(other, l)| *other != number && l.peer.name == peer.name)
+                .map(|(other, l)| (other, l.peer.life == peer.life && l.ours == we_call && ours != we_call))
+                .collect();
+            for (other, keep) in others {
+                links.close(if keep { number } else { other });
+            }
+            peer
+        };
+        self.lost.borrow_mut().insert(peer.name.clone(), None);
+        self.unreached.borrow_mut().remove(&peer.address);
+        let control_node = peer.disk.is_some();
+        self.learn(vec![Update::Node(peer)], Some(number));
+        self.compare(&mut self.links.borrow_mut(), &[number]);
+        if let Some(register) = self.register.as_ref().filter(|_| control_node) {
+            self.ask(register.look(true));
+        }
+    }
+
+    fn heard(self: &Rc<Self>, number: u64, line: Message) {
+        match line {
+            Message::Hello(_) | Message::Packed(_) => {}
+            Message::Update { number: asked, updates } => {
+                self.learn(updates, Some(number));
+                if asked > 0 {
+                    self.links.borrow_mut().send(number, &Message::Got { number: asked });
+                }
+            }
+            Message::Got { number: asked } => self.confirmed(asked, number),
+            Message::Digest(digest) => self.compared_with(number, digest),
+            Message::Feed(fed) => {
+                if let Some(link) = self.links.borrow_mut().get_mut(number) {
+                    link.fed = fed;
+                }
+            }
+            Message::Buckets(buckets) => {
+                let summary = {
+                    let directory = self.directory.borrow();
+                    let parts = directory.differing(&buckets);
+                    (parts != 0 || buckets.epoch != directory.seats().epoch).then(|| directory.summary(parts))
+                };
+                if let Some(summary) = summary {
+                    self.links.borrow_mut().send(number, &Message::Summary(summary));
+                }
+            }
+            Message::Summary(summary) => {
+                let (updates, behind, mine) = {
+                    let directory = self.directory.borrow();
+                    let behind = directory.is_behind(&summary);
+                    (directory.newer_than(&summary), behind, behind.then(|| directory.summary(summary.parts)))
+                };
+                let mut links = self.links.borrow_mut();
+                if !updates.is_empty() {
+                    links.send(number, &Message::Update { number: 0, updates });
+                }
+                if let Some(mine) = mine {
+                    links.send(number, &Message::Summary(mine));
+                } else if !behind && links.get_mut(number).is_some_and(|l| l.peer.disk.is_some()) {
+                    self.synced.set(true);
+                }
+            }
+            Message::Want { above } => {
+                let filed = self.filed.borrow().clone().filter(|f| f.version > above);
+                if let Some(filed) = filed {
+                    self.links.borrow_mut().send(number, &Message::Config(filed));
+                }
+            }
+            Message::Config(filed) => self.config_is(filed),
+            Message::Ask { number: asked, ask } => {
+                let Some(register) = &self.register else { return };
+                let (agent, own) = (self.clone(), register.ask_own(&ask));
+                tokio::task::spawn_local(async move {
+                    if let Some(told) = own.await {
+                        agent.links.borrow_mut().send(number, &Message::Told { number: asked, told });
+                    }
+                });
+            }
+            Message::Told { number: asked, told } => self.told(asked, told),
+        }
+    }
+
+    fn unlinked(self: &Rc<Self>, _number: u64, link: Link) {
+        // Called again at once: it may only have started anew.
+        self.dialled.borrow_mut().remove(&link.peer.address);
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/report.rs
@@ -0,0 +1,72 @@
+//! What this process tells operators of itself: its state as JSON and a line of counters.
+
+use super::*;
+
+impl Agent {
+    /// Lines and bytes that this process has said to others, by what they are about.
+    pub fn said(&self) -> BTreeMap<&'static str, (u64, u64)> {
+        self.links.borrow().counters.out.clone()
+    }
+
+    /// All that this process knows, for operators.
+    pub fn state(&self) -> Value {
+        let (directory, links) = (self.directory.borrow(), self.links.borrow());
+        let linked = |name: &str| links.to(name).is_some();
+        let feed = self.feed.get().and_then(|n| links.get(n)).map(|l| l.peer.name.clone());
+        let nodes: Vec<Value> = directory
+            .nodes()
+            .map(|n| {
+                let state = match (n.name == directory.me().name, n.down, linked(&n.name)) {
+                    (true, ..) => "this one",
+                    (_, true, _) => "down",
+                    (_, _, true) => "linked",
+                    _ => "known",
+                };
+                json!({"node": n.name, "state": state, "age": n.age, "zone": n.zone, "address": n.address,
+                    "control": n.control, "disk": n.disk, "front": n.front})
+            })
+            .collect();
+        let servers: Vec<Value> = directory
+            .servers()
+            .filter(|s| s.state < State::Gone)
+            .map(|s| {
+                json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.silent,
+                    "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
+            })
+            .collect();
+        let seats: Vec<Value> =
+            directory.seats().seats.iter().map(|s| json!({"disk": s.disk, "address": s.address})).collect();
+        let since = self.in_force_since.get().map(|at| at.elapsed().as_secs());
+        let said = self.said().into_iter();
+        let said: Vec<Value> = said
+            .map(|(cause, (lines, bytes))| json!({"about": cause, "lines": lines, "bytes": bytes}))
+            .collect();
+        json!({
+            "process": {"node": directory.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
+                "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
+            "configuration": {"version": self.version(), "in force for s": since,
+                "on this disk": self.register.as_ref().and_then(|r| r.filed()).map(|f| f.version)},
+            "duties": [
+                {"duty": "set of disks", "epoch": directory.seats().epoch, "held here": self.has_seats_duty()},
+                {"duty": "servers of lost control_nodes", "epoch": null, "held here": self.is_control_node() && self.is_first()},
+            ],
+            "said": said, "disks": seats, "nodes": nodes, "servers": servers,
+            "allotments": self.plane.as_ref().map_or(Value::Array(Vec::new()), |plane| plane.allotments()),
+        })
+    }
+
+    /// A line of counters.
+    pub fn count(&self) {
+        let (directory, links) = (self.directory.borrow(), self.links.borrow());
+        let c = &links.counters;
+        info!(self.log, "counters"; "nodes" => directory.nodes().filter(|n| !n.down).count(),
+            "servers" => directory.servers().filter(|s| s.state < State::Gone).count(),
+            "links" => links.iter().count(), "version" => self.version(), "epoch" => directory.seats().epoch,
+            "lines_in" => c.lines_in, "unread" => c.unread, "lost" => c.lost,
+            "said" => c.out.iter().map(|(cause, (lines, bytes))| format!("{cause}:{lines}:{bytes}"))
+                .collect::<Vec<_>>().join(","));
+        if let Some(plane) = &self.plane {
+            plane.count();
+        }
+    }
+}
