--- a/crates/gossip/src/directory.rs
+++ b/crates/gossip/src/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use ashvane_quorum::Seats;
+use ashvane_quorum::Membership;
 
 use crate::{BUCKETS, Buckets, Digest, Node, NodeRank, Server, State, Summary, Update, bucket, hash};
 
@@ -34,7 +34,7 @@
     servers: BTreeMap<String, Server>,
     /// Of each address, the server that has it.
     addresses: BTreeMap<String, String>,
-    seats: Seats,
+    membership: Membership,
     /// When each server that beats here was last heard, and by which beat.
     heard: BTreeMap<String, (Duration, u64)>,
     /// Since when each process has been down.
@@ -50,13 +50,13 @@
 
 impl Directory {
     pub fn new(me: Node, beat_every: Duration, now: Duration) -> Self {
-        let (nodes, servers, addresses, seats, heard, down, ended) = Default::default();
+        let (nodes, servers, addresses, membership, heard, down, ended) = Default::default();
         let mut directory = Directory {
             me: me.clone(),
             nodes,
             servers,
             addresses,
-            seats,
+            membership,
             heard,
             down,
             ended,
@@ -89,8 +89,8 @@
         self.servers.get(id)
     }
 
-    pub fn seats(&self) -> &Seats {
-        &self.seats
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
     pub fn changes(&self) -> u64 {
@@ -153,13 +153,13 @@
     /// what had to be said against it.
     pub fn learn(&mut self, updates: Update, now: Duration) -> Vec<Update> {
         match updates {
-            Update::Seats(seats) => {
-                if seats.epoch <= self.seats.epoch {
+            Update::Membership(membership) => {
+                if membership.epoch <= self.membership.epoch {
                     return Vec::new();
                 }
-                self.seats = seats;
+                self.membership = membership;
                 self.changes += 1;
-                vec![Update::Seats(self.seats.clone())]
+                vec![Update::Membership(self.membership.clone())]
             }
             Update::Node(node) if node.name == self.me.name => {
                 let other = node.life != self.me.life || node.down;
@@ -310,11 +310,11 @@
     pub fn digest(&self, version: u64) -> Digest {
         // Joined so that two parts that differ alike do not cancel out.
         let entries = self.entries.iter().fold(0u64, |all, e| all.rotate_left(5) ^ e);
-        Digest { entries, epoch: self.seats.epoch, version }
+        Digest { entries, epoch: self.membership.epoch, version }
     }
 
     pub fn buckets(&self) -> Buckets {
-        Buckets { entries: self.entries.to_vec(), epoch: self.seats.epoch }
+        Buckets { entries: self.entries.to_vec(), epoch: self.membership.epoch }
     }
 
     /// The parts in which this one and another differ, a bit for each; all where it can't be told.
@@ -331,7 +331,7 @@
             parts,
             nodes: nodes.map(|(name, n)| (name.clone(), n.rank())).collect(),
             servers: servers.map(|(id, s)| (id.clone(), s.rank())).collect(),
-            epoch: self.seats.epoch,
+            epoch: self.membership.epoch,
         }
     }
 
@@ -345,9 +345,10 @@
             // It may have forgotten what ended.
             None => s.state < State::Gone && within(&s.id),
         });
-        let seats = (summary.epoch < self.seats.epoch).then(|| Update::Seats(self.seats.clone()));
+        let membership =
+            (summary.epoch < self.membership.epoch).then(|| Update::Membership(self.membership.clone()));
         let nodes = nodes.cloned().map(Update::Node);
-        nodes.chain(servers.cloned().map(Update::Server)).chain(seats).collect()
+        nodes.chain(servers.cloned().map(Update::Server)).chain(membership).collect()
     }
 
     /// Whether another knows something newer than this one does.
@@ -356,7 +357,7 @@
         let server = |(id, rank): (&String, &(State, u64, bool))| {
             self.servers.get(id).is_none_or(|s| s.rank() < *rank)
         };
-        summary.epoch > self.seats.epoch
+        summary.epoch > self.membership.epoch
             || summary.nodes.iter().any(node)
             || summary.servers.iter().any(server)
     }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::hash::Hasher as _;
 
-use ashvane_quorum::{DiskId, Seats};
+use ashvane_quorum::{DiskId, Membership};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
@@ -86,7 +86,7 @@
 pub enum Update {
     Node(Node),
     Server(Server),
-    Seats(Seats),
+    Membership(Membership),
 }
 
 /// Tells whether two know the same, in a few bytes.
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Digest, Directory, Heartbeat, Node, Server, State, Update, peers};
-use ashvane_quorum::{Ask, Filed, Outcome, Seat, Seats, Watch, duty};
+use ashvane_quorum::{Ask, Member, Membership, Outcome, StoredConfig, Watch, duty};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -59,7 +59,7 @@
     directory: RefCell<Directory>,
     links: RefCell<Links>,
     /// The newest configuration that a majority of disks is known to hold.
-    filed: RefCell<Option<Filed>>,
+    stored: RefCell<Option<StoredConfig>>,
     config: RefCell<Option<Rc<Config>>>,
     in_force_since: Cell<Option<Instant>>,
     register: Option<Rc<Register>>,
@@ -107,11 +107,11 @@
         let started = Instant::now();
         let mut directory = Directory::new(me, settings.beat_every, Duration::ZERO);
         if let Some(register) = &register {
-            directory.learn(Update::Seats(register.seats()), Duration::ZERO);
+            directory.learn(Update::Membership(register.membership()), Duration::ZERO);
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (filed, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
+        let (stored, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
         let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
@@ -119,7 +119,7 @@
             started,
             directory: RefCell::new(directory),
             links,
-            filed,
+            stored,
             config,
             in_force_since: Cell::new(None),
             register: register.map(Rc::new),
@@ -155,7 +155,7 @@
     }
 
     fn version(&self) -> u64 {
-        self.filed.borrow().as_ref().map_or(0, |f| f.version)
+        self.stored.borrow().as_ref().map_or(0, |f| f.version)
     }
 
     fn is_control_node(&self) -> bool {
@@ -184,7 +184,7 @@
         let told = self.directory.borrow_mut().tick(first, self.now());
         self.spread(told, None);
         self.look_at_register();
-        self.look_at_seats();
+        self.look_at_members();
         self.look_at_hints();
         let now = Instant::now();
         if self.compared.get() + COMPARE <= now {
--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -13,8 +13,8 @@
 
     pub(super) fn ask(self: &Rc<Self>, asks: Asks) {
         let Some(register) = &self.register else { return };
-        for (seat, number, ask) in asks {
-            if seat.address == self.directory.borrow().me().address {
+        for (member, number, ask) in asks {
+            if member.address == self.directory.borrow().me().address {
                 let (agent, own) = (self.clone(), register.ask_own(&ask));
                 tokio::task::spawn_local(async move {
                     if let Some(told) = own.await {
@@ -24,7 +24,7 @@
                 continue;
             }
             let mut links = self.links.borrow_mut();
-            if let Some(link) = links.at(&seat.address) {
+            if let Some(link) = links.at(&member.address) {
                 links.send(link, &Message::Ask { number, ask });
             }
         }
@@ -32,9 +32,9 @@
 
     pub(super) fn told(self: &Rc<Self>, number: u64, told: ashvane_quorum::Told) {
         let Some(register) = &self.register else { return };
-        let (asks, seats) = register.told(number, told);
-        if let Some(seats) = seats {
-            self.learn(vec![Update::Seats(seats)], None);
+        let (asks, membership) = register.told(number, told);
+        if let Some(membership) = membership {
+            self.learn(vec![Update::Membership(membership)], None);
         }
         self.ask(asks);
     }
@@ -46,16 +46,16 @@
             Err(faults) => return Put::Invalid(faults),
         };
         let Some(register) = &self.register else { return Put::Unclear };
-        let filed = Filed { version: config.version, text: packed::pack(text).into() };
-        let seats = self.directory.borrow().seats().clone();
-        if seats.seats.is_empty() {
+        let stored = StoredConfig { version: config.version, text: packed::pack(text).into() };
+        let membership = self.directory.borrow().membership().clone();
+        if membership.members.is_empty() {
             return Put::Unclear;
         }
-        let (asks, outcome) = register.write(seats, filed.clone());
+        let (asks, outcome) = register.write(membership, stored.clone());
         self.ask(asks);
         match outcome.await {
             Ok(Outcome::Held) => {
-                self.config_is(filed);
+                self.config_is(stored);
                 Put::Held(self.version())
             }
             _ => Put::Unclear,
@@ -63,21 +63,21 @@
     }
 
     /// The newest configuration that a majority of disks holds. None: no majority answers.
-    pub async fn newest(self: &Rc<Self>) -> Option<Option<Filed>> {
+    pub async fn newest(self: &Rc<Self>) -> Option<Option<StoredConfig>> {
         let register = self.register.as_ref()?;
-        let seats = self.directory.borrow().seats().clone();
-        if seats.seats.is_empty() {
+        let membership = self.directory.borrow().membership().clone();
+        if membership.members.is_empty() {
             return None;
         }
-        let (asks, outcome) = register.read(seats);
+        let (asks, outcome) = register.read(membership);
         self.ask(asks);
         match outcome.await {
-            Ok(Outcome::Found(filed)) => {
+            Ok(Outcome::Found(stored)) => {
                 self.read.set(true);
-                if let Some(filed) = &filed {
-                    self.config_is(filed.clone());
+                if let Some(stored) = &stored {
+                    self.config_is(stored.clone());
                 }
-                Some(filed)
+                Some(stored)
             }
             _ => None,
         }
@@ -87,7 +87,7 @@
     pub(super) fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
         self.ask(register.look(false));
-        let ahead = register.filed().map_or(0, |f| f.version) > self.version();
+        let ahead = register.stored().map_or(0, |f| f.version) > self.version();
         if (!self.read.get() || ahead) && !self.reading.replace(true) {
             let agent = self.clone();
             tokio::task::spawn_local(async move {
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -33,7 +33,7 @@
             let down = down.filter(|n| !unreached.contains_key(&n.address) && links.to(&n.name).is_none());
             wanted.extend(down.map(|n| n.address.clone()));
             let control_nodes = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
-            if control_nodes == 0 || (self.is_control_node() && directory.seats().epoch == 0) {
+            if control_nodes == 0 || (self.is_control_node() && directory.membership().epoch == 0) {
                 let own = &directory.me().address;
                 wanted
                     .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
@@ -167,7 +167,8 @@
                 let summary = {
                     let directory = self.directory.borrow();
                     let parts = directory.differing(&buckets);
-                    (parts != 0 || buckets.epoch != directory.seats().epoch).then(|| directory.summary(parts))
+                    (parts != 0 || buckets.epoch != directory.membership().epoch)
+                        .then(|| directory.summary(parts))
                 };
                 if let Some(summary) = summary {
                     self.links.borrow_mut().send(number, &Message::Summary(summary));
@@ -190,12 +191,12 @@
                 }
             }
             Message::Want { above } => {
-                let filed = self.filed.borrow().clone().filter(|f| f.version > above);
-                if let Some(filed) = filed {
-                    self.links.borrow_mut().send(number, &Message::Config(filed));
+                let stored = self.stored.borrow().clone().filter(|f| f.version > above);
+                if let Some(stored) = stored {
+                    self.links.borrow_mut().send(number, &Message::Config(stored));
                 }
             }
-            Message::Config(filed) => self.config_is(filed),
+            Message::Config(stored) => self.config_is(stored),
             Message::Ask { number: asked, ask } => {
                 let Some(register) = &self.register else { return };
                 let (agent, own) = (self.clone(), register.ask_own(&ask));
--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -50,32 +50,33 @@
     }
 
     /// A configuration that a majority of disks holds: from here on it is in force here.
-    pub(super) fn config_is(self: &Rc<Self>, filed: Filed) {
-        if self.filed.borrow().as_ref().is_some_and(|held| *held >= filed) {
+    pub(super) fn config_is(self: &Rc<Self>, stored: StoredConfig) {
+        if self.stored.borrow().as_ref().is_some_and(|held| *held >= stored) {
             return;
         }
-        let Some(text) = packed::unpack(&filed.text) else {
-            warn!(self.log, "a configuration that others hold cannot be unpacked"; "version" => filed.version);
+        let Some(text) = packed::unpack(&stored.text) else {
+            warn!(self.log, "a configuration that others hold cannot be unpacked"; "version" => stored.version);
             return;
         };
         let config = match Config::parse(&text) {
             Ok(config) => Rc::new(config),
             Err(faults) => {
                 warn!(self.log, "a configuration that others hold cannot be read here";
-                    "version" => filed.version, "faults" => faults.join("; "));
+                    "version" => stored.version, "faults" => faults.join("; "));
                 return;
             }
         };
-        info!(self.log, "configuration in force"; "version" => filed.version);
+        info!(self.log, "configuration in force"; "version" => stored.version);
         self.in_force_since.set(Some(Instant::now()));
         *self.config.borrow_mut() = Some(config.clone());
-        *self.filed.borrow_mut() = Some(filed.clone());
+        *self.stored.borrow_mut() = Some(stored.clone());
         if let Some(plane) = &self.plane {
             plane.configured(config);
         }
         if let Some(register) = &self.register {
             // What this disk has missed it is given here.
-            let own = register.ask_own(&Ask::Install { seats: Seats::default(), filed: Some(filed) });
+            let own =
+                register.ask_own(&Ask::Install { membership: Membership::default(), stored: Some(stored) });
             tokio::task::spawn_local(own);
         }
         let mut links = self.links.borrow_mut();
--- a/crates/node/src/agent/report.rs
+++ b/crates/node/src/agent/report.rs
@@ -34,8 +34,12 @@
                     "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
             })
             .collect();
-        let seats: Vec<Value> =
-            directory.seats().seats.iter().map(|s| json!({"disk": s.disk, "address": s.address})).collect();
+        let membership: Vec<Value> = directory
+            .membership()
+            .members
+            .iter()
+            .map(|s| json!({"disk": s.disk, "address": s.address}))
+            .collect();
         let since = self.in_force_since.get().map(|at| at.elapsed().as_secs());
         let said = self.said().into_iter();
         let said: Vec<Value> = said
@@ -45,12 +49,12 @@
             "process": {"node": directory.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
                 "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
             "configuration": {"version": self.version(), "in force for s": since,
-                "on this disk": self.register.as_ref().and_then(|r| r.filed()).map(|f| f.version)},
+                "on this disk": self.register.as_ref().and_then(|r| r.stored()).map(|f| f.version)},
             "duties": [
-                {"duty": "set of disks", "epoch": directory.seats().epoch, "held here": self.has_seats_duty()},
+                {"duty": "set of disks", "epoch": directory.membership().epoch, "held here": self.has_seats_duty()},
                 {"duty": "servers of lost control_nodes", "epoch": null, "held here": self.is_control_node() && self.is_first()},
             ],
-            "said": said, "disks": seats, "nodes": nodes, "servers": servers,
+            "said": said, "disks": membership, "nodes": nodes, "servers": servers,
             "allotments": self.plane.as_ref().map_or(Value::Array(Vec::new()), |plane| plane.allotments()),
         })
     }
@@ -61,7 +65,7 @@
         let c = &links.counters;
         info!(self.log, "counters"; "nodes" => directory.nodes().filter(|n| !n.down).count(),
             "servers" => directory.servers().filter(|s| s.state < State::Gone).count(),
-            "links" => links.iter().count(), "version" => self.version(), "epoch" => directory.seats().epoch,
+            "links" => links.iter().count(), "version" => self.version(), "epoch" => directory.membership().epoch,
             "lines_in" => c.lines_in, "unread" => c.unread, "lost" => c.lost,
             "said" => c.out.iter().map(|(cause, (lines, bytes))| format!("{cause}:{lines}:{bytes}"))
                 .collect::<Vec<_>>().join(","));
--- a/crates/node/src/agent/servers.rs
+++ b/crates/node/src/agent/servers.rs
@@ -21,7 +21,7 @@
 
     pub(super) async fn confirm(self: &Rc<Self>, id: &str) -> bool {
         let Some(server) = self.directory.borrow().server(id).cloned() else { return false };
-        let need = self.directory.borrow().seats().majority().saturating_sub(1);
+        let need = self.directory.borrow().membership().majority().saturating_sub(1);
         if need == 0 {
             return true;
         }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Buckets, Digest, Node, Summary, Update};
-use ashvane_quorum::{Ask, Filed, Told};
+use ashvane_quorum::{Ask, StoredConfig, Told};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
 use tokio::net::TcpStream;
@@ -50,7 +50,7 @@
     Want {
         above: u64,
     },
-    Config(Filed),
+    Config(StoredConfig),
     Ask {
         number: u64,
         ask: Ask,
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::Node;
-use ashvane_quorum::{Cell, DiskId, Seat, Seats};
+use ashvane_quorum::{DiskId, Member, Membership, Replica};
 use slog::{Drain as _, Level, Logger, info, o, warn};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -102,36 +102,36 @@
 }
 
 /// The set that the whole system starts with: the disks of the machines that all are told of.
-fn first_seats(settings: &Settings) -> Seats {
-    let seat = |seed: &String| {
+fn first_membership(settings: &Settings) -> Membership {
+    let member = |seed: &String| {
         let (ip, _) = seed.rsplit_once(':')?;
         let address = format!("{ip}:{}", settings.ports.0);
-        Some(Seat { disk: first_name(seed), address })
+        Some(Member { disk: first_name(seed), address })
     };
-    Seats::new(1, settings.seeds.iter().filter_map(seat).collect())
+    Membership::new(1, settings.seeds.iter().filter_map(member).collect())
 }
 
 fn first_name(control: &str) -> Arc<str> {
     format!("first:{control}").into()
 }
 
-/// The disk's cell as it was left, or an empty one. Only at the first start of the whole system has an empty
+/// The disk's replica as it was left, or an empty one. Only at the first start of the whole system has an empty
 /// disk a name that others know beforehand: later it may be one that has forgotten what it voted for.
-pub async fn cell(settings: &Settings, disk: &Disk, found: crate::disk::Found, log: &Logger) -> Cell {
+pub async fn replica(settings: &Settings, disk: &Disk, found: crate::disk::Found, log: &Logger) -> Replica {
     for why in &found.spoilt {
         warn!(log, "a store on the disk could not be read and begins anew"; "why" => why);
     }
     if let Some(kept) = found.kept {
-        return Cell::restored(kept, found.filed);
+        return Replica::restored(kept, found.stored);
     }
     let first = settings.bootstrap && found.spoilt.is_empty();
-    let seats = if first { first_seats(settings) } else { Seats::default() };
+    let membership = if first { first_membership(settings) } else { Membership::default() };
     let control = settings.control.map(|c| c.to_string()).unwrap_or_default();
     let named = first && settings.seeds.contains(&control);
     let name = if named { first_name(&control) } else { format!("{:016x}", fastrand::u64(..)).into() };
-    let cell = Cell::empty(name, seats);
-    let _ = disk.keep(Some(cell.kept()), None).await;
-    cell
+    let replica = Replica::empty(name, membership);
+    let _ = disk.keep(Some(replica.kept()), None).await;
+    replica
 }
 
 /// This process, as others know it.
@@ -174,11 +174,11 @@
             let (disk, mut found) =
                 Disk::open(dir).map_err(|why| StartError::Settings { file: dir.clone(), why })?;
             recalled = std::mem::take(&mut found.servers);
-            let cell = cell(&settings, &disk, found, &log).await;
-            info!(log, "disk"; "name" => &*cell.kept().disk, "epoch" => cell.kept().seats.epoch,
-                "version" => cell.filed().map_or(0, |f| f.version));
-            let name = cell.kept().disk.clone();
-            Some((Register::new(cell, disk, life), name))
+            let replica = replica(&settings, &disk, found, &log).await;
+            info!(log, "disk"; "name" => &*replica.kept().disk, "epoch" => replica.kept().membership.epoch,
+                "version" => replica.stored().map_or(0, |f| f.version));
+            let name = replica.kept().disk.clone();
+            Some((Register::new(replica, disk, life), name))
         }
     };
     if role == Role::Control && register.is_none() {
--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -1,4 +1,4 @@
-//! The register's two sides in one process: its own disk's cell, and the quests that run from here.
+//! The register's two sides in one process: its own disk's replica, and the operations that run from here.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -6,62 +6,62 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_quorum::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told};
+use ashvane_quorum::{Ask, Member, Membership, Operation, Outcome, Replica, StoredConfig, Told};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::disk::Disk;
 
-/// Time after which a quest asks again: an answer or a question is lost, or a disk is slow.
-const ASK_AGAIN: Duration = Duration::from_millis(350);
-/// Time after which a quest is given up. Whoever waits for it has called elsewhere by then.
-const QUEST_MOST: Duration = Duration::from_millis(4000);
+/// Time after which a operation asks again: an answer or a question is lost, or a disk is slow.
+const RESEND_AFTER: Duration = Duration::from_millis(350);
+/// Time after which a operation is given up. Whoever waits for it has called elsewhere by then.
+const OPERATION_TIMEOUT: Duration = Duration::from_millis(4000);
 
 struct Running {
-    quest: Quest,
+    operation: Operation,
     done: Option<oneshot::Sender<Outcome>>,
     asked: Instant,
     until: Instant,
 }
 
 /// What has to be asked of whom, under which number.
-pub type Asks = Vec<(Seat, u64, Ask)>;
+pub type Asks = Vec<(Member, u64, Ask)>;
 
 pub struct Register {
     name: Arc<str>,
-    cell: RefCell<Cell>,
+    replica: RefCell<Replica>,
     disk: Disk,
-    quests: RefCell<BTreeMap<u64, Running>>,
+    operations: RefCell<BTreeMap<u64, Running>>,
     asks: RefCell<BTreeMap<u64, (u64, Ask)>>,
     next: RefCell<u64>,
 }
 
 impl Register {
-    pub fn new(cell: Cell, disk: Disk, life: u64) -> Self {
-        let name = format!("{}/{life:x}", cell.kept().disk).into();
-        let (quests, asks, next) = Default::default();
-        Register { name, cell: RefCell::new(cell), disk, quests, asks, next }
+    pub fn new(replica: Replica, disk: Disk, life: u64) -> Self {
+        let name = format!("{}/{life:x}", replica.kept().disk).into();
+        let (operations, asks, next) = Default::default();
+        Register { name, replica: RefCell::new(replica), disk, operations, asks, next }
     }
 
-    pub fn filed(&self) -> Option<Filed> {
-        self.cell.borrow().filed().cloned()
+    pub fn stored(&self) -> Option<StoredConfig> {
+        self.replica.borrow().stored().cloned()
     }
 
-    pub fn seats(&self) -> Seats {
-        self.cell.borrow().kept().seats.clone()
+    pub fn membership(&self) -> Membership {
+        self.replica.borrow().kept().membership.clone()
     }
 
     pub fn disk(&self) -> &Disk {
         &self.disk
     }
 
-    /// Asks this process's own cell. The answer comes once all that it rests on is on disk.
+    /// Asks this process's own replica. The answer comes once all that it rests on is on disk.
     pub fn ask_own(self: &Rc<Self>, ask: &Ask) -> impl Future<Output = Option<Told>> + use<> {
-        let (told, changed) = self.cell.borrow_mut().asked(ask);
-        let cell = self.cell.borrow();
-        let kept = changed.kept.then(|| cell.kept());
-        let filed = cell.filed().filter(|_| changed.filed);
-        let safe = self.disk.keep(kept, filed);
+        let (told, changed) = self.replica.borrow_mut().asked(ask);
+        let replica = self.replica.borrow();
+        let kept = changed.kept.then(|| replica.kept());
+        let stored = replica.stored().filter(|_| changed.stored);
+        let safe = self.disk.keep(kept, stored);
         async move { safe.await.ok().map(|()| told) }
     }
 
@@ -71,71 +71,73 @@
         *next
     }
 
-    fn asks(&self, quest: u64, asks: Vec<(Seat, Ask)>) -> Asks {
+    fn asks(&self, operation: u64, asks: Vec<(Member, Ask)>) -> Asks {
         let mut known = self.asks.borrow_mut();
-        let numbered = asks.into_iter().map(|(seat, ask)| {
+        let numbered = asks.into_iter().map(|(member, ask)| {
             let number = self.number();
-            known.insert(number, (quest, ask.clone()));
-            (seat, number, ask)
+            known.insert(number, (operation, ask.clone()));
+            (member, number, ask)
         });
         numbered.collect()
     }
 
-    fn start(&self, mut quest: Quest) -> (Asks, oneshot::Receiver<Outcome>) {
+    fn start(&self, mut operation: Operation) -> (Asks, oneshot::Receiver<Outcome>) {
         let (done, outcome) = oneshot::channel();
         let (number, now) = (self.number(), Instant::now());
-        let asks = self.asks(number, quest.begin());
-        let running = Running { quest, done: Some(done), asked: now, until: now + QUEST_MOST };
-        self.quests.borrow_mut().insert(number, running);
+        let asks = self.asks(number, operation.begin());
+        let running = Running { operation, done: Some(done), asked: now, until: now + OPERATION_TIMEOUT };
+        self.operations.borrow_mut().insert(number, running);
         (asks, outcome)
     }
 
-    pub fn write(&self, seats: Seats, filed: Filed) -> (Asks, oneshot::Receiver<Outcome>) {
-        self.start(Quest::write(self.name.clone(), seats, filed))
+    pub fn write(&self, membership: Membership, stored: StoredConfig) -> (Asks, oneshot::Receiver<Outcome>) {
+        self.start(Operation::write(self.name.clone(), membership, stored))
     }
 
-    pub fn read(&self, seats: Seats) -> (Asks, oneshot::Receiver<Outcome>) {
-        self.start(Quest::read(self.name.clone(), seats, None))
+    pub fn read(&self, membership: Membership) -> (Asks, oneshot::Receiver<Outcome>) {
+        self.start(Operation::read(self.name.clone(), membership, None))
     }
 
-    pub fn change(&self, seats: Seats, next: Vec<Seat>) -> (Asks, oneshot::Receiver<Outcome>) {
-        self.start(Quest::change(self.name.clone(), seats, Some(next)))
+    pub fn change(&self, membership: Membership, next: Vec<Member>) -> (Asks, oneshot::Receiver<Outcome>) {
+        self.start(Operation::change(self.name.clone(), membership, Some(next)))
     }
 
-    /// An answer to a question of ours: what to ask next, and the newest set that the quest knows.
-    pub fn told(&self, number: u64, told: Told) -> (Asks, Option<Seats>) {
+    /// An answer to a question of ours: what to ask next, and the newest set that the operation knows.
+    pub fn told(&self, number: u64, told: Told) -> (Asks, Option<Membership>) {
         let Some((at, ask)) = self.asks.borrow_mut().remove(&number) else { return Default::default() };
-        let mut quests = self.quests.borrow_mut();
-        let Some(running) = quests.get_mut(&at) else { return Default::default() };
-        let (asks, outcome) = running.quest.told(&ask, told);
-        let seats = running.quest.seats().clone();
+        let mut operations = self.operations.borrow_mut();
+        let Some(running) = operations.get_mut(&at) else { return Default::default() };
+        let (asks, outcome) = running.operation.told(&ask, told);
+        let membership = running.operation.membership().clone();
         if let Some(outcome) = outcome {
             if let Some(done) = running.done.take() {
                 let _ = done.send(outcome);
             }
-            quests.remove(&at);
-            self.forget(&quests);
+            operations.remove(&at);
+            self.forget(&operations);
         }
-        (self.asks(at, asks), Some(seats))
+        (self.asks(at, asks), Some(membership))
     }
 
-    fn forget(&self, quests: &BTreeMap<u64, Running>) {
-        self.asks.borrow_mut().retain(|_, (at, _)| quests.contains_key(at));
+    fn forget(&self, operations: &BTreeMap<u64, Running>) {
+        self.asks.borrow_mut().retain(|_, (at, _)| operations.contains_key(at));
     }
 
     /// Asks again where answers stay out, or at once where somebody new can be asked, and gives up what has
     /// taken too long.
     pub fn look(&self, at_once: bool) -> Asks {
         let now = Instant::now();
-        let mut quests = self.quests.borrow_mut();
-        quests.retain(|_, r| r.until > now && r.done.as_ref().is_some_and(|done| !done.is_closed()));
-        self.forget(&quests);
+        let mut operations = self.operations.borrow_mut();
+        operations.retain(|_, r| r.until > now && r.done.as_ref().is_some_and(|done| !done.is_closed()));
+        self.forget(&operations);
         let mut all = Vec::new();
-        for (number, running) in quests.iter_mut().filter(|(_, r)| at_once || r.asked + ASK_AGAIN < now) {
+        for (number, running) in
+            operations.iter_mut().filter(|(_, r)| at_once || r.asked + RESEND_AFTER < now)
+        {
             running.asked = now;
-            all.push((*number, running.quest.again()));
+            all.push((*number, running.operation.again()));
         }
-        drop(quests);
+        drop(operations);
         all.into_iter().flat_map(|(number, asks)| self.asks(number, asks)).collect()
     }
 }
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use ashvane_node::disk::{Disk, Found};
-use ashvane_quorum::{Cell, Filed, Seats};
+use ashvane_quorum::{Membership, Replica, StoredConfig};
 
 fn folder(name: &str) -> PathBuf {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
@@ -11,8 +11,8 @@
     dir
 }
 
-fn filed(version: u64) -> Filed {
-    Filed { version, text: "x".repeat(2000 * version as usize).into() }
+fn stored(version: u64) -> StoredConfig {
+    StoredConfig { version, text: "x".repeat(2000 * version as usize).into() }
 }
 
 /// Opens a disk once the one before has let go of it.
@@ -29,9 +29,9 @@
 /// Writes versions up to this one, each kept before the next.
 fn fill(dir: &Path, versions: u64) {
     let (disk, _) = open(dir);
-    let cell = Cell::empty("d".into(), Seats::default());
+    let replica = Replica::empty("d".into(), Membership::default());
     for version in 1..=versions {
-        disk.keep(Some(cell.kept()), Some(&filed(version))).blocking_recv().expect("kept");
+        disk.keep(Some(replica.kept()), Some(&stored(version))).blocking_recv().expect("kept");
     }
     disk.close();
 }
@@ -49,7 +49,7 @@
     let dir = folder("kept");
     fill(&dir, 5);
     let (disk, found) = open(&dir);
-    assert!(found.filed == Some(filed(5)) && found.spoilt.is_empty());
+    assert!(found.stored == Some(stored(5)) && found.spoilt.is_empty());
     assert_eq!(found.kept.map(|k| k.disk.to_string()), Some("d".to_owned()));
     disk.close();
 }
@@ -76,12 +76,12 @@
         }
         std::fs::write(torn.join("cells-a/db"), &spoilt).expect("written");
         let (disk, found) = open(&torn);
-        let version = found.filed.map_or(0, |f| f.version);
+        let version = found.stored.map_or(0, |f| f.version);
         assert!(version == 3 || version == 4, "seed {seed}: {version}");
-        disk.keep(None, Some(&filed(9))).blocking_recv().expect("it goes on");
+        disk.keep(None, Some(&stored(9))).blocking_recv().expect("it goes on");
         disk.close();
         let (disk, found) = open(&torn);
-        assert_eq!(found.filed.map(|f| f.version), Some(9), "seed {seed}");
+        assert_eq!(found.stored.map(|f| f.version), Some(9), "seed {seed}");
         disk.close();
         let _ = std::fs::remove_dir_all(&torn);
     }
@@ -96,10 +96,10 @@
         "seq":4,"silent":false,"keeper":"n"}"#;
     let server: ashvane_gossip::Server = serde_json::from_str(text).expect("a server");
     disk.hint(vec![server.clone()]);
-    disk.keep(None, Some(&filed(3))).blocking_recv().expect("kept");
+    disk.keep(None, Some(&stored(3))).blocking_recv().expect("kept");
     disk.close();
     let (disk, found) = open(&dir);
-    assert!(found.servers == vec![server] && found.filed == Some(filed(3)) && found.kept.is_some());
+    assert!(found.servers == vec![server] && found.stored == Some(stored(3)) && found.kept.is_some());
     disk.close();
 }
 
@@ -111,7 +111,7 @@
     assert!(Disk::open(&dir.to_string_lossy()).is_err());
     disk.close();
     let (disk, found) = open(&dir);
-    assert!(found.filed.map(|f| f.version) == Some(3) && found.spoilt.is_empty());
+    assert!(found.stored.map(|f| f.version) == Some(3) && found.spoilt.is_empty());
     disk.close();
 }
 
@@ -123,6 +123,6 @@
         std::fs::write(dir.join(store).join("db"), b"no store").expect("written");
     }
     let (disk, found) = open(&dir);
-    assert!(found.kept.is_none() && found.filed.is_none());
+    assert!(found.kept.is_none() && found.stored.is_none());
     disk.close();
 }
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -11,7 +11,7 @@
 use ashvane_node::agent::{Agent, TICK};
 use ashvane_node::disk::{Disk, Whole};
 use ashvane_node::links::{self, Dialled, Net, Ways};
-use ashvane_node::program::{cell, node};
+use ashvane_node::program::{node, replica};
 use ashvane_node::register::Register;
 use ashvane_node::settings::Settings;
 use slog::{Discard, Drain, KV as _, Logger, OwnedKVList, Record, o};
@@ -338,9 +338,9 @@
                 wanted.is_safe();
             }
         });
-        let cell = cell(&settings, &disk, found, &log).await;
-        let name = cell.kept().disk.clone();
-        register = Some((Register::new(cell, disk, life), name));
+        let replica = replica(&settings, &disk, found, &log).await;
+        let name = replica.kept().disk.clone();
+        register = Some((Register::new(replica, disk, life), name));
     }
     let (register, disk) = register.unzip();
     let me = node(&settings, life, address, disk);
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -3,19 +3,19 @@
 //! answered. The set changes by one decision an epoch, taken by a majority of the set that ends; from then on
 //! that set takes no writes, and what it held goes to a majority of the next one before that one takes any.
 //!
-//! Nothing here reads a clock, a socket or a file: [`Cell`] is one disk's part, [`Quest`] that of whoever asks.
+//! Nothing here reads a clock, a socket or a file: [`Replica`] is one disk's part, [`Operation`] that of whoever asks.
 
-pub mod cell;
 pub mod duty;
-pub mod quest;
+pub mod operation;
+pub mod replica;
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-pub use cell::{Cell, Kept};
 pub use duty::Watch;
-pub use quest::{Outcome, Quest};
+pub use operation::{Operation, Outcome};
+pub use replica::{Replica, ReplicaState};
 
 /// Names a disk for as long as it keeps its content: one that is wiped comes back under another name, so that
 /// it has no vote for what it has forgotten.
@@ -23,37 +23,37 @@
 
 /// A disk of the set and where it is asked.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Seat {
+pub struct Member {
     pub disk: DiskId,
     pub address: String,
 }
 
 /// The set of disks of one epoch.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Seats {
+pub struct Membership {
     pub epoch: u64,
-    pub seats: Vec<Seat>,
+    pub members: Vec<Member>,
 }
 
-impl Seats {
-    pub fn new(epoch: u64, mut seats: Vec<Seat>) -> Self {
-        seats.sort();
-        seats.dedup_by(|a, b| a.disk == b.disk);
-        Seats { epoch, seats }
+impl Membership {
+    pub fn new(epoch: u64, mut members: Vec<Member>) -> Self {
+        members.sort();
+        members.dedup_by(|a, b| a.disk == b.disk);
+        Membership { epoch, members }
     }
 
     pub fn majority(&self) -> usize {
-        self.seats.len() / 2 + 1
+        self.members.len() / 2 + 1
     }
 
     pub fn has(&self, disk: &str) -> bool {
-        self.seats.iter().any(|s| &*s.disk == disk)
+        self.members.iter().any(|s| &*s.disk == disk)
     }
 }
 
 /// A configuration under its version. Of two under one version the greater text wins, so that all agree.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Filed {
+pub struct StoredConfig {
     pub version: u64,
     pub text: Arc<str>,
 }
@@ -73,7 +73,7 @@
     },
     Write {
         epoch: u64,
-        filed: Filed,
+        stored: StoredConfig,
     },
     Prepare {
         epoch: u64,
@@ -82,12 +82,12 @@
     Accept {
         epoch: u64,
         ballot: Ballot,
-        next: Seats,
+        next: Membership,
     },
     /// A set that was decided, and what the set before it held.
     Install {
-        seats: Seats,
-        filed: Option<Filed>,
+        membership: Membership,
+        stored: Option<StoredConfig>,
     },
 }
 
@@ -96,10 +96,10 @@
 pub struct Told {
     pub done: bool,
     pub disk: DiskId,
-    pub seats: Seats,
+    pub membership: Membership,
     pub promised: Ballot,
-    pub accepted: Option<(Ballot, Seats)>,
+    pub accepted: Option<(Ballot, Membership)>,
     pub version: u64,
     /// Where it was asked for, or is needed to go on.
-    pub filed: Option<Filed>,
+    pub stored: Option<StoredConfig>,
 }
--- a/crates/quorum/src/quest.rs
+++ b/crates/quorum/src/operation.rs
@@ -4,24 +4,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::{Ask, Ballot, DiskId, Filed, Seat, Seats, Told};
+use crate::{Ask, Ballot, DiskId, Member, Membership, StoredConfig, Told};
 
-/// What a quest is after.
+/// What a operation is after.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Aim {
-    Write(Filed),
+    Write(StoredConfig),
     Read,
     /// To end the epoch of the set it began with; none: only to finish what others began.
-    Change(Option<Vec<Seat>>),
+    Change(Option<Vec<Member>>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Stage {
     Reading,
-    Writing(Filed),
+    Writing(StoredConfig),
     Preparing(Ballot),
-    Accepting(Ballot, Seats),
-    Installing(Seats),
+    Accepting(Ballot, Membership),
+    Installing(Membership),
     Done,
 }
 
@@ -30,45 +30,45 @@
     /// A majority of the set has it on disk.
     Held,
     /// The newest that a majority knows, now itself held by one.
-    Found(Option<Filed>),
+    Found(Option<StoredConfig>),
     /// The set that is in force now.
-    Seated(Seats),
+    Seated(Membership),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Quest {
+pub struct Operation {
     by: Arc<str>,
     aim: Aim,
-    seats: Seats,
+    membership: Membership,
     stage: Stage,
     answers: BTreeMap<DiskId, Told>,
     refused: BTreeSet<DiskId>,
     round: u64,
     /// The newest configuration met on the way.
-    filed: Option<Filed>,
+    stored: Option<StoredConfig>,
 }
 
-impl Quest {
-    fn new(by: Arc<str>, seats: Seats, aim: Aim) -> Self {
+impl Operation {
+    fn new(by: Arc<str>, membership: Membership, aim: Aim) -> Self {
         let (answers, refused) = Default::default();
-        Quest { by, aim, seats, stage: Stage::Done, answers, refused, round: 0, filed: None }
+        Operation { by, aim, membership, stage: Stage::Done, answers, refused, round: 0, stored: None }
     }
 
-    pub fn write(by: Arc<str>, seats: Seats, filed: Filed) -> Self {
-        Quest::new(by, seats, Aim::Write(filed))
+    pub fn write(by: Arc<str>, membership: Membership, stored: StoredConfig) -> Self {
+        Operation::new(by, membership, Aim::Write(stored))
     }
 
     /// `known`: what the asker holds itself, which need not be sent again.
-    pub fn read(by: Arc<str>, seats: Seats, known: Option<Filed>) -> Self {
-        Quest { filed: known, ..Quest::new(by, seats, Aim::Read) }
+    pub fn read(by: Arc<str>, membership: Membership, known: Option<StoredConfig>) -> Self {
+        Operation { stored: known, ..Operation::new(by, membership, Aim::Read) }
     }
 
-    pub fn change(by: Arc<str>, seats: Seats, next: Option<Vec<Seat>>) -> Self {
-        Quest::new(by, seats, Aim::Change(next))
+    pub fn change(by: Arc<str>, membership: Membership, next: Option<Vec<Member>>) -> Self {
+        Operation::new(by, membership, Aim::Change(next))
     }
 
-    pub fn seats(&self) -> &Seats {
-        &self.seats
+    pub fn membership(&self) -> &Membership {
+        &self.membership
     }
 
     pub fn is_done(&self) -> bool {
@@ -76,31 +76,31 @@
     }
 
     /// What to ask first, and whom.
-    pub fn begin(&mut self) -> Vec<(Seat, Ask)> {
+    pub fn begin(&mut self) -> Vec<(Member, Ask)> {
         match self.aim.clone() {
-            Aim::Write(filed) => self.enter(Stage::Writing(filed)),
+            Aim::Write(stored) => self.enter(Stage::Writing(stored)),
             Aim::Read => self.enter(Stage::Reading),
             Aim::Change(_) => self.prepare(),
         }
     }
 
     /// Asks again those of this stage that have not answered: questions and answers may be lost.
-    pub fn again(&mut self) -> Vec<(Seat, Ask)> {
+    pub fn again(&mut self) -> Vec<(Member, Ask)> {
         // A refusal may stem from a race that is over: from the top.
         if !self.refused.is_empty() {
             return self.begin();
         }
-        let answered = |seat: &Seat| self.answers.contains_key(&seat.disk);
-        self.asks().into_iter().filter(|(seat, _)| !answered(seat)).collect()
+        let answered = |member: &Member| self.answers.contains_key(&member.disk);
+        self.asks().into_iter().filter(|(member, _)| !answered(member)).collect()
     }
 
-    fn prepare(&mut self) -> Vec<(Seat, Ask)> {
+    fn prepare(&mut self) -> Vec<(Member, Ask)> {
         self.round += 1;
         self.enter(Stage::Preparing(Ballot { round: self.round, by: self.by.clone() }))
     }
 
     /// The one place where the stage changes.
-    fn enter(&mut self, stage: Stage) -> Vec<(Seat, Ask)> {
+    fn enter(&mut self, stage: Stage) -> Vec<(Member, Ask)> {
         self.answers.clear();
         self.refused.clear();
         self.stage = stage;
@@ -108,38 +108,38 @@
     }
 
     /// What this stage asks, of all that it is asked of.
-    fn asks(&self) -> Vec<(Seat, Ask)> {
-        let epoch = self.seats.epoch;
+    fn asks(&self) -> Vec<(Member, Ask)> {
+        let epoch = self.membership.epoch;
         let (asked, ask) = match &self.stage {
             Stage::Done => return Vec::new(),
             Stage::Reading => {
-                (&self.seats, Ask::Read { above: self.filed.as_ref().map_or(0, |f| f.version) })
+                (&self.membership, Ask::Read { above: self.stored.as_ref().map_or(0, |f| f.version) })
             }
-            Stage::Writing(filed) => (&self.seats, Ask::Write { epoch, filed: filed.clone() }),
-            Stage::Preparing(ballot) => (&self.seats, Ask::Prepare { epoch, ballot: ballot.clone() }),
+            Stage::Writing(stored) => (&self.membership, Ask::Write { epoch, stored: stored.clone() }),
+            Stage::Preparing(ballot) => (&self.membership, Ask::Prepare { epoch, ballot: ballot.clone() }),
             Stage::Accepting(ballot, next) => {
                 let (ballot, next) = (ballot.clone(), next.clone());
-                (&self.seats, Ask::Accept { epoch, ballot, next })
+                (&self.membership, Ask::Accept { epoch, ballot, next })
             }
             Stage::Installing(next) => {
-                (next, Ask::Install { seats: next.clone(), filed: self.filed.clone() })
+                (next, Ask::Install { membership: next.clone(), stored: self.stored.clone() })
             }
         };
-        asked.seats.iter().map(|seat| (seat.clone(), ask.clone())).collect()
+        asked.members.iter().map(|member| (member.clone(), ask.clone())).collect()
     }
 
     /// The set moved on: go on with the newer one.
-    fn moved(&mut self, seats: Seats) -> (Vec<(Seat, Ask)>, Option<Outcome>) {
-        self.seats = seats;
+    fn moved(&mut self, membership: Membership) -> (Vec<(Member, Ask)>, Option<Outcome>) {
+        self.membership = membership;
         if matches!(self.aim, Aim::Change(_)) {
             // Another ended the epoch that this one was to end.
-            return self.end(Outcome::Seated(self.seats.clone()));
+            return self.end(Outcome::Seated(self.membership.clone()));
         }
         self.round = 0;
         (self.begin(), None)
     }
 
-    fn end(&mut self, outcome: Outcome) -> (Vec<(Seat, Ask)>, Option<Outcome>) {
+    fn end(&mut self, outcome: Outcome) -> (Vec<(Member, Ask)>, Option<Outcome>) {
         self.enter(Stage::Done);
         (Vec::new(), Some(outcome))
     }
@@ -148,29 +148,32 @@
     fn fits(&self, ask: &Ask) -> bool {
         match (&self.stage, ask) {
             (Stage::Reading, Ask::Read { .. }) => true,
-            (Stage::Writing(f), Ask::Write { epoch, filed }) => f == filed && *epoch == self.seats.epoch,
+            (Stage::Writing(f), Ask::Write { epoch, stored }) => {
+                f == stored && *epoch == self.membership.epoch
+            }
             (Stage::Preparing(b), Ask::Prepare { ballot, .. }) => b == ballot,
             (Stage::Accepting(b, _), Ask::Accept { ballot, .. }) => b == ballot,
-            (Stage::Installing(next), Ask::Install { seats, .. }) => next == seats,
+            (Stage::Installing(next), Ask::Install { membership, .. }) => next == membership,
             _ => false,
         }
     }
 
     /// A disk has answered.
-    pub fn told(&mut self, ask: &Ask, told: Told) -> (Vec<(Seat, Ask)>, Option<Outcome>) {
+    pub fn told(&mut self, ask: &Ask, told: Told) -> (Vec<(Member, Ask)>, Option<Outcome>) {
         if !self.fits(ask) {
             return (Vec::new(), None);
         }
-        if let Some(filed) = told.filed.as_ref().filter(|f| self.filed.as_ref().is_none_or(|held| held < *f))
+        if let Some(stored) =
+            told.stored.as_ref().filter(|f| self.stored.as_ref().is_none_or(|held| held < *f))
         {
-            self.filed = Some(filed.clone());
+            self.stored = Some(stored.clone());
         }
         let ending = match &self.stage {
             Stage::Installing(next) => next.clone(),
-            _ => self.seats.clone(),
+            _ => self.membership.clone(),
         };
-        if told.seats.epoch > ending.epoch {
-            return self.moved(told.seats);
+        if told.membership.epoch > ending.epoch {
+            return self.moved(told.membership);
         }
         if !ending.has(&told.disk) {
             return (Vec::new(), None);
@@ -185,13 +188,13 @@
         self.majority()
     }
 
-    fn refused(&mut self, told: Told) -> (Vec<(Seat, Ask)>, Option<Outcome>) {
+    fn refused(&mut self, told: Told) -> (Vec<(Member, Ask)>, Option<Outcome>) {
         self.round = self.round.max(told.promised.round);
         // One that holds an older set can't vote; once it is told of this one it can.
-        if told.seats.epoch < self.seats.epoch {
-            let seat = self.seats.seats.iter().find(|s| s.disk == told.disk).cloned();
-            let install = Ask::Install { seats: self.seats.clone(), filed: None };
-            return (seat.map(|seat| (seat, install)).into_iter().collect(), None);
+        if told.membership.epoch < self.membership.epoch {
+            let member = self.membership.members.iter().find(|s| s.disk == told.disk).cloned();
+            let install = Ask::Install { membership: self.membership.clone(), stored: None };
+            return (member.map(|member| (member, install)).into_iter().collect(), None);
         }
         self.refused.insert(told.disk.clone());
         match self.stage {
@@ -202,11 +205,11 @@
     }
 
     /// A majority has done what this stage asks.
-    fn majority(&mut self) -> (Vec<(Seat, Ask)>, Option<Outcome>) {
+    fn majority(&mut self) -> (Vec<(Member, Ask)>, Option<Outcome>) {
         match self.stage.clone() {
             Stage::Reading => self.read_whole(),
             Stage::Writing(_) => match &self.aim {
-                Aim::Read => self.end(Outcome::Found(self.filed.clone())),
+                Aim::Read => self.end(Outcome::Found(self.stored.clone())),
                 _ => self.end(Outcome::Held),
             },
             Stage::Preparing(ballot) => {
@@ -219,8 +222,8 @@
                 let next = match accepted {
                     Some((_, next)) => next,
                     None => {
-                        let seats = wanted.unwrap_or_else(|| self.seats.seats.clone());
-                        Seats::new(self.seats.epoch + 1, seats)
+                        let membership = wanted.unwrap_or_else(|| self.membership.members.clone());
+                        Membership::new(self.membership.epoch + 1, membership)
                     }
                 };
                 (self.enter(Stage::Accepting(ballot, next)), None)
@@ -232,7 +235,7 @@
         }
     }
 
-    fn read_whole(&mut self) -> (Vec<(Seat, Ask)>, Option<Outcome>) {
+    fn read_whole(&mut self) -> (Vec<(Member, Ask)>, Option<Outcome>) {
         // An answer that knows of a set that may follow, or of an older one, says nothing of this epoch.
         if self.answers.values().any(|t| t.accepted.is_some()) {
             return (self.prepare(), None);
@@ -240,23 +243,23 @@
         let behind: Vec<_> = self
             .answers
             .values()
-            .filter(|t| t.seats.epoch < self.seats.epoch)
+            .filter(|t| t.membership.epoch < self.membership.epoch)
             .map(|t| t.disk.clone())
             .collect();
         if !behind.is_empty() {
-            let install = Ask::Install { seats: self.seats.clone(), filed: None };
-            let seats = self.seats.seats.iter().filter(|s| behind.contains(&s.disk));
-            let asks = seats.map(|seat| (seat.clone(), install.clone())).collect();
+            let install = Ask::Install { membership: self.membership.clone(), stored: None };
+            let membership = self.membership.members.iter().filter(|s| behind.contains(&s.disk));
+            let asks = membership.map(|member| (member.clone(), install.clone())).collect();
             self.answers.retain(|disk, _| !behind.contains(disk));
             return (asks, None);
         }
-        match self.filed.clone() {
+        match self.stored.clone() {
             None => self.end(Outcome::Found(None)),
-            Some(filed) if self.answers.values().all(|t| t.version == filed.version) => {
-                self.end(Outcome::Found(Some(filed)))
+            Some(stored) if self.answers.values().all(|t| t.version == stored.version) => {
+                self.end(Outcome::Found(Some(stored)))
             }
             // Held by some only: it is made whole before it is told, lest the next read find it gone.
-            Some(filed) => (self.enter(Stage::Writing(filed)), None),
+            Some(stored) => (self.enter(Stage::Writing(stored)), None),
         }
     }
 }
--- a/crates/quorum/src/cell.rs
+++ b/crates/quorum/src/replica.rs
@@ -2,77 +2,80 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Ask, Ballot, DiskId, Filed, Seats, Told};
+use crate::{Ask, Ballot, DiskId, Membership, StoredConfig, Told};
 
 /// All that a disk keeps beside the configuration.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Kept {
+pub struct ReplicaState {
     pub disk: DiskId,
-    pub seats: Seats,
+    pub membership: Membership,
     pub promised: Ballot,
     /// What it has accepted to follow its set: from then on it takes no writes for this set.
-    pub accepted: Option<(Ballot, Seats)>,
+    pub accepted: Option<(Ballot, Membership)>,
 }
 
-/// A disk's state. After [`Cell::asked`] its answer may leave only once what changed is on disk.
+/// A disk's state. After [`Replica::asked`] its answer may leave only once what changed is on disk.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Cell {
-    kept: Kept,
-    filed: Option<Filed>,
+pub struct Replica {
+    kept: ReplicaState,
+    stored: Option<StoredConfig>,
 }
 
 /// What has changed and has to be on disk before the answer leaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Changed {
     pub kept: bool,
-    pub filed: bool,
+    pub stored: bool,
 }
 
-impl Cell {
+impl Replica {
     /// An empty disk under a name of its own, told by others of the set that there is, or of the first one.
-    pub fn empty(disk: DiskId, seats: Seats) -> Self {
-        Cell { kept: Kept { disk, seats, promised: Ballot::default(), accepted: None }, filed: None }
+    pub fn empty(disk: DiskId, membership: Membership) -> Self {
+        Replica {
+            kept: ReplicaState { disk, membership, promised: Ballot::default(), accepted: None },
+            stored: None,
+        }
     }
 
-    pub fn restored(kept: Kept, filed: Option<Filed>) -> Self {
-        Cell { kept, filed }
+    pub fn restored(kept: ReplicaState, stored: Option<StoredConfig>) -> Self {
+        Replica { kept, stored }
     }
 
-    pub fn kept(&self) -> &Kept {
+    pub fn kept(&self) -> &ReplicaState {
         &self.kept
     }
 
-    pub fn filed(&self) -> Option<&Filed> {
-        self.filed.as_ref()
+    pub fn stored(&self) -> Option<&StoredConfig> {
+        self.stored.as_ref()
     }
 
     fn version(&self) -> u64 {
-        self.filed.as_ref().map_or(0, |f| f.version)
+        self.stored.as_ref().map_or(0, |f| f.version)
     }
 
     /// The one place where the configuration changes: it only rises.
-    fn raise(&mut self, filed: &Filed, changed: &mut Changed) {
-        if self.filed.as_ref().is_none_or(|held| held < filed) {
-            self.filed = Some(filed.clone());
-            changed.filed = true;
+    fn raise(&mut self, stored: &StoredConfig, changed: &mut Changed) {
+        if self.stored.as_ref().is_none_or(|held| held < stored) {
+            self.stored = Some(stored.clone());
+            changed.stored = true;
         }
     }
 
     /// The one place where the set changes: its epoch only rises.
-    fn follow(&mut self, seats: &Seats, changed: &mut Changed) {
-        if seats.epoch > self.kept.seats.epoch {
-            (self.kept.seats, self.kept.promised, self.kept.accepted) =
-                (seats.clone(), Ballot::default(), None);
+    fn follow(&mut self, membership: &Membership, changed: &mut Changed) {
+        if membership.epoch > self.kept.membership.epoch {
+            (self.kept.membership, self.kept.promised, self.kept.accepted) =
+                (membership.clone(), Ballot::default(), None);
             changed.kept = true;
         }
     }
 
     /// The one place where a ballot is promised or accepted.
-    fn vote(&mut self, ballot: &Ballot, next: Option<&Seats>, changed: &mut Changed) {
+    fn vote(&mut self, ballot: &Ballot, next: Option<&Membership>, changed: &mut Changed) {
         debug_assert!(*ballot >= self.kept.promised, "a promise is never taken back");
         self.kept.promised = ballot.clone();
         if let Some(next) = next {
-            debug_assert_eq!(next.epoch, self.kept.seats.epoch + 1, "one epoch follows another");
+            debug_assert_eq!(next.epoch, self.kept.membership.epoch + 1, "one epoch follows another");
             self.kept.accepted = Some((ballot.clone(), next.clone()));
         }
         changed.kept = true;
@@ -80,7 +83,7 @@
 
     pub fn asked(&mut self, ask: &Ask) -> (Told, Changed) {
         let mut changed = Changed::default();
-        let (held, mine) = (self.kept.seats.epoch, self.kept.seats.has(&self.kept.disk));
+        let (held, mine) = (self.kept.membership.epoch, self.kept.membership.has(&self.kept.disk));
         // Its own vote counts only in a set that names it under the name that it has now.
         let votes = |epoch: u64| mine && epoch == held;
         let mut tell = false;
@@ -89,10 +92,10 @@
                 tell = self.version() > *above;
                 true
             }
-            Ask::Write { epoch, filed } => {
+            Ask::Write { epoch, stored } => {
                 let open = votes(*epoch) && self.kept.accepted.is_none();
                 if open {
-                    self.raise(filed, &mut changed);
+                    self.raise(stored, &mut changed);
                 }
                 open
             }
@@ -111,22 +114,22 @@
                 tell = open;
                 open
             }
-            Ask::Install { seats, filed } => {
-                self.follow(seats, &mut changed);
-                if let Some(filed) = filed {
-                    self.raise(filed, &mut changed);
+            Ask::Install { membership, stored } => {
+                self.follow(membership, &mut changed);
+                if let Some(stored) = stored {
+                    self.raise(stored, &mut changed);
                 }
-                self.kept.seats.epoch >= seats.epoch
+                self.kept.membership.epoch >= membership.epoch
             }
         };
         let told = Told {
             done,
             disk: self.kept.disk.clone(),
-            seats: self.kept.seats.clone(),
+            membership: self.kept.membership.clone(),
             promised: self.kept.promised.clone(),
             accepted: self.kept.accepted.clone(),
             version: self.version(),
-            filed: self.filed.clone().filter(|_| tell),
+            stored: self.stored.clone().filter(|_| tell),
         };
         (told, changed)
     }
--- a/crates/quorum/tests/model.rs
+++ b/crates/quorum/tests/model.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use ashvane_quorum::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told};
+use ashvane_quorum::{Ask, Member, Membership, Operation, Outcome, Replica, StoredConfig, Told};
 use stateright::{Checker as _, HasDiscoveries, Model, Property};
 
 /// What is taken out.
@@ -25,21 +25,21 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Message {
-    Ask { quest: usize, seat: Seat, ask: Ask },
-    Told { quest: usize, ask: Ask, told: Told },
+    Ask { operation: usize, member: Member, ask: Ask },
+    Told { operation: usize, ask: Ask, told: Told },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    cells: Vec<Cell>,
-    quests: Vec<Quest>,
+    replicas: Vec<Replica>,
+    operations: Vec<Operation>,
     begun: Vec<bool>,
     messages: Vec<Message>,
     wipes: u8,
-    /// The newest version that was acknowledged, at all and when each quest began.
+    /// The newest version that was acknowledged, at all and when each operation began.
     held: u64,
     floors: Vec<u64>,
-    /// What each quest found.
+    /// What each operation found.
     found: Vec<Option<u64>>,
 }
 
@@ -54,8 +54,8 @@
 
 struct Register {
     /// The first set's disks, and one that waits beside them.
-    seats: usize,
-    quests: Vec<Plan>,
+    membership: usize,
+    operations: Vec<Plan>,
     wipes: u8,
     losses: bool,
     without: Without,
@@ -71,57 +71,61 @@
     Shrink,
 }
 
-fn seat(number: usize) -> Seat {
-    Seat { disk: format!("d{number}").into(), address: format!("{number}") }
+fn member(number: usize) -> Member {
+    Member { disk: format!("d{number}").into(), address: format!("{number}") }
 }
 
 impl Register {
-    fn first(&self) -> Seats {
-        Seats::new(1, (0..self.seats).map(seat).collect())
+    fn first(&self) -> Membership {
+        Membership::new(1, (0..self.membership).map(member).collect())
     }
 
-    fn quest(&self, number: usize, plan: Plan, seats: Seats) -> Quest {
+    fn operation(&self, number: usize, plan: Plan, membership: Membership) -> Operation {
         let by: Arc<str> = format!("q{number}").into();
         match plan {
             Plan::Write(version) => {
-                Quest::write(by, seats, Filed { version, text: format!("v{version}").into() })
+                Operation::write(by, membership, StoredConfig { version, text: format!("v{version}").into() })
+            }
+            Plan::Read => Operation::read(by, membership, None),
+            Plan::Change => {
+                Operation::change(by, membership, Some((1..=self.membership).map(member).collect()))
+            }
+            Plan::Shrink => {
+                Operation::change(by, membership, Some((0..self.membership - 1).map(member).collect()))
             }
-            Plan::Read => Quest::read(by, seats, None),
-            Plan::Change => Quest::change(by, seats, Some((1..=self.seats).map(seat).collect())),
-            Plan::Shrink => Quest::change(by, seats, Some((0..self.seats - 1).map(seat).collect())),
         }
     }
 
     /// A disk's answer, with the guard taken out.
-    fn asked(&self, cell: &mut Cell, ask: &Ask) -> Told {
-        let kept = cell.kept().clone();
-        let bare = |cell: &Cell, strip: &dyn Fn(&mut ashvane_quorum::Kept)| {
-            let mut kept = cell.kept().clone();
+    fn asked(&self, replica: &mut Replica, ask: &Ask) -> Told {
+        let kept = replica.kept().clone();
+        let bare = |replica: &Replica, strip: &dyn Fn(&mut ashvane_quorum::ReplicaState)| {
+            let mut kept = replica.kept().clone();
             strip(&mut kept);
-            Cell::restored(kept, cell.filed().cloned())
+            Replica::restored(kept, replica.stored().cloned())
         };
         match (self.without, ask) {
             (Without::Seal, Ask::Write { .. }) => {
-                let mut open = bare(cell, &|kept| kept.accepted = None);
+                let mut open = bare(replica, &|kept| kept.accepted = None);
                 let told = open.asked(ask).0;
-                *cell = Cell::restored(kept, open.filed().cloned());
+                *replica = Replica::restored(kept, open.stored().cloned());
                 told
             }
             (Without::Promise, Ask::Accept { .. }) => {
-                let mut open = bare(cell, &|kept| kept.promised = Default::default());
+                let mut open = bare(replica, &|kept| kept.promised = Default::default());
                 let told = open.asked(ask).0;
-                *cell = open;
+                *replica = open;
                 told
             }
-            (Without::HandOver, Ask::Install { seats, .. }) => {
-                cell.asked(&Ask::Install { seats: seats.clone(), filed: None }).0
+            (Without::HandOver, Ask::Install { membership, .. }) => {
+                replica.asked(&Ask::Install { membership: membership.clone(), stored: None }).0
             }
-            _ => cell.asked(ask).0,
+            _ => replica.asked(ask).0,
         }
     }
 
-    fn post(state: &mut State, quest: usize, asks: Vec<(Seat, Ask)>) {
-        let asks = asks.into_iter().map(|(seat, ask)| Message::Ask { quest, seat, ask });
+    fn post(state: &mut State, operation: usize, asks: Vec<(Member, Ask)>) {
+        let asks = asks.into_iter().map(|(member, ask)| Message::Ask { operation, member, ask });
         state.messages.extend(asks);
         state.messages.sort();
         state.messages.dedup();
@@ -133,13 +137,13 @@
     type Action = Action;
 
     fn init_states(&self) -> Vec<State> {
-        let cells = (0..=self.seats).map(|n| Cell::empty(seat(n).disk, self.first())).collect();
-        let quests = self.quests.iter().enumerate().map(|(n, p)| self.quest(n, *p, self.first()));
-        let quests: Vec<Quest> = quests.collect();
-        let many = quests.len();
+        let replicas = (0..=self.membership).map(|n| Replica::empty(member(n).disk, self.first())).collect();
+        let operations = self.operations.iter().enumerate().map(|(n, p)| self.operation(n, *p, self.first()));
+        let operations: Vec<Operation> = operations.collect();
+        let many = operations.len();
         vec![State {
-            cells,
-            quests,
+            replicas,
+            operations,
             begun: vec![false; many],
             messages: Vec::new(),
             wipes: self.wipes,
@@ -153,7 +157,7 @@
         // In their order: what comes later may begin any time after what came first.
         if let Some(next) = state.begun.iter().position(|begun| !begun) {
             actions.push(Action::Begin(next, false));
-            if state.cells.iter().any(|c| c.kept().seats.epoch > 1) {
+            if state.replicas.iter().any(|c| c.kept().membership.epoch > 1) {
                 actions.push(Action::Begin(next, true));
             }
         }
@@ -162,7 +166,7 @@
             actions.extend((0..state.messages.len()).map(Action::Lose));
         }
         if state.wipes > 0 {
-            actions.extend((0..self.seats).map(Action::Wipe));
+            actions.extend((0..self.membership).map(Action::Wipe));
         }
     }
 
@@ -171,43 +175,45 @@
         match action {
             Action::Begin(n, newest) => {
                 if newest {
-                    let seats = state.cells.iter().map(|c| &c.kept().seats).max_by_key(|s| s.epoch);
-                    state.quests[n] = self.quest(n, self.quests[n], seats.cloned().unwrap_or_default());
+                    let membership =
+                        state.replicas.iter().map(|c| &c.kept().membership).max_by_key(|s| s.epoch);
+                    state.operations[n] =
+                        self.operation(n, self.operations[n], membership.cloned().unwrap_or_default());
                 }
                 state.begun[n] = true;
                 state.floors[n] = state.held;
-                let asks = state.quests[n].begin();
+                let asks = state.operations[n].begin();
                 Self::post(&mut state, n, asks);
             }
             Action::Lose(at) => drop(state.messages.remove(at)),
             Action::Wipe(n) => {
                 state.wipes -= 1;
                 let name = match self.without {
-                    Without::NewName => seat(n).disk,
+                    Without::NewName => member(n).disk,
                     _ => format!("d{n}-new").into(),
                 };
-                state.cells[n] = Cell::empty(name, self.first());
+                state.replicas[n] = Replica::empty(name, self.first());
             }
             Action::Deliver(at) => match state.messages.remove(at) {
-                Message::Ask { quest, seat, ask } => {
-                    let number: usize = seat.address.parse().ok()?;
-                    let told = self.asked(&mut state.cells[number], &ask);
-                    state.messages.push(Message::Told { quest, ask, told });
+                Message::Ask { operation, member, ask } => {
+                    let number: usize = member.address.parse().ok()?;
+                    let told = self.asked(&mut state.replicas[number], &ask);
+                    state.messages.push(Message::Told { operation, ask, told });
                     state.messages.sort();
                 }
-                Message::Told { quest, ask, mut told } => {
+                Message::Told { operation, ask, mut told } => {
                     if self.without == Without::WriteBack && matches!(ask, Ask::Read { .. }) {
                         told.accepted = None;
                     }
-                    let (asks, outcome) = state.quests[quest].told(&ask, told);
-                    match (outcome, &self.quests[quest]) {
+                    let (asks, outcome) = state.operations[operation].told(&ask, told);
+                    match (outcome, &self.operations[operation]) {
                         (Some(Outcome::Held), Plan::Write(version)) => state.held = state.held.max(*version),
                         (Some(Outcome::Found(found)), _) => {
-                            state.found[quest] = Some(found.map_or(0, |f| f.version));
+                            state.found[operation] = Some(found.map_or(0, |f| f.version));
                         }
                         _ => {}
                     }
-                    Self::post(&mut state, quest, asks);
+                    Self::post(&mut state, operation, asks);
                 }
             },
         }
@@ -220,7 +226,7 @@
                 state.found.iter().zip(&state.floors).all(|(found, floor)| found.is_none_or(|f| f >= *floor))
             }),
             Property::always("an epoch has one set", |_, state: &State| {
-                let sets: Vec<&Seats> = state.cells.iter().map(|c| &c.kept().seats).collect();
+                let sets: Vec<&Membership> = state.replicas.iter().map(|c| &c.kept().membership).collect();
                 sets.iter().all(|a| sets.iter().all(|b| a.epoch != b.epoch || a == b))
             }),
         ]
@@ -233,57 +239,59 @@
     (checker.discoveries().keys().next().copied(), checker.unique_state_count())
 }
 
-fn plain(quests: Vec<Plan>) -> Register {
-    Register { seats: 3, quests, wipes: 0, losses: false, without: Without::Nothing }
+fn plain(operations: Vec<Plan>) -> Register {
+    Register { membership: 3, operations, wipes: 0, losses: false, without: Without::Nothing }
 }
 
 #[test]
 fn a_write_beside_a_change_of_the_set_is_read_afterwards() {
-    let quests = vec![Plan::Write(1), Plan::Change, Plan::Read];
-    let (broken, states) = check(plain(quests), 13);
+    let operations = vec![Plan::Write(1), Plan::Change, Plan::Read];
+    let (broken, states) = check(plain(operations), 13);
     assert_eq!(broken, None);
     assert!(states > 20_000, "{states} states");
 }
 
 #[test]
 fn a_wiped_disk_does_not_vote_for_what_it_forgot() {
-    let quests = || vec![Plan::Write(1), Plan::Read];
-    let (broken, states) = check(Register { wipes: 1, ..plain(quests()) }, 16);
+    let operations = || vec![Plan::Write(1), Plan::Read];
+    let (broken, states) = check(Register { wipes: 1, ..plain(operations()) }, 16);
     assert!(broken.is_none() && states > 2_000, "{broken:?}, {states} states");
-    let (broken, _) = check(Register { wipes: 1, without: Without::NewName, ..plain(quests()) }, 16);
+    let (broken, _) = check(Register { wipes: 1, without: Without::NewName, ..plain(operations()) }, 16);
     assert_eq!(broken, Some("what was acknowledged is read"));
 }
 
 #[test]
 fn without_the_seal_a_write_is_lost_in_the_change() {
-    let quests = vec![Plan::Change, Plan::Write(1), Plan::Read];
-    let (broken, _) = check(Register { seats: 1, without: Without::Seal, ..plain(quests) }, 24);
+    let operations = vec![Plan::Change, Plan::Write(1), Plan::Read];
+    let (broken, _) = check(Register { membership: 1, without: Without::Seal, ..plain(operations) }, 24);
     assert_eq!(broken, Some("what was acknowledged is read"));
 }
 
 #[test]
 fn without_the_hand_over_the_new_set_knows_nothing() {
-    let quests = || vec![Plan::Write(1), Plan::Change, Plan::Read];
-    let (broken, _) = check(Register { seats: 1, ..plain(quests()) }, 24);
+    let operations = || vec![Plan::Write(1), Plan::Change, Plan::Read];
+    let (broken, _) = check(Register { membership: 1, ..plain(operations()) }, 24);
     assert_eq!(broken, None);
-    let (broken, _) = check(Register { seats: 1, without: Without::HandOver, ..plain(quests()) }, 24);
+    let (broken, _) =
+        check(Register { membership: 1, without: Without::HandOver, ..plain(operations()) }, 24);
     assert_eq!(broken, Some("what was acknowledged is read"));
 }
 
 #[test]
 fn without_the_promise_an_epoch_gets_two_sets() {
-    let quests = || vec![Plan::Shrink, Plan::Change];
-    let (broken, _) = check(Register { seats: 2, ..plain(quests()) }, 22);
+    let operations = || vec![Plan::Shrink, Plan::Change];
+    let (broken, _) = check(Register { membership: 2, ..plain(operations()) }, 22);
     assert_eq!(broken, None);
-    let (broken, _) = check(Register { seats: 2, without: Without::Promise, ..plain(quests()) }, 22);
+    let (broken, _) = check(Register { membership: 2, without: Without::Promise, ..plain(operations()) }, 22);
     assert_eq!(broken, Some("an epoch has one set"));
 }
 
 #[test]
 fn a_read_that_overlooks_a_change_misses_what_came_after_it() {
-    let quests = || vec![Plan::Change, Plan::Write(1), Plan::Read];
-    let (broken, _) = check(Register { seats: 1, ..plain(quests()) }, 24);
+    let operations = || vec![Plan::Change, Plan::Write(1), Plan::Read];
+    let (broken, _) = check(Register { membership: 1, ..plain(operations()) }, 24);
     assert_eq!(broken, None);
-    let (broken, _) = check(Register { seats: 1, without: Without::WriteBack, ..plain(quests()) }, 24);
+    let (broken, _) =
+        check(Register { membership: 1, without: Without::WriteBack, ..plain(operations()) }, 24);
     assert_eq!(broken, Some("what was acknowledged is read"));
 }
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -6,15 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ashvane_quorum::{Ask, Cell, Filed, Outcome, Quest, Seat, Seats, Told, Watch};
+use ashvane_quorum::{Ask, Member, Membership, Operation, Outcome, Replica, StoredConfig, Told, Watch};
 
 /// Milliseconds.
 type Time = u64;
 
 /// As in the program.
 const TICK: Time = 250;
-const ASK_AGAIN: Time = 350;
-const QUEST_MOST: Time = 4000;
+const RESEND_AFTER: Time = 350;
+const OPERATION_TIMEOUT: Time = 4000;
 /// After a machine is back, the next loss may come.
 const CATCH_UP: Time = 4000;
 const CALM_ENOUGH: Time = 6000;
@@ -24,10 +24,10 @@
     up: bool,
     /// Rises with each start: what an earlier life asked or was asked is nobody's.
     life: u64,
-    cell: Cell,
+    replica: Replica,
     /// What a loss of power leaves.
-    disk: Cell,
-    known: Seats,
+    disk: Replica,
+    known: Membership,
     watch: Watch,
     changing: bool,
 }
@@ -35,7 +35,7 @@
 struct Running {
     machine: usize,
     life: u64,
-    quest: Quest,
+    operation: Operation,
     aim: Aim,
     asked: Time,
     until: Time,
@@ -52,14 +52,14 @@
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Ask {
-        quest: u64,
+        operation: u64,
         from: usize,
         to: String,
         ask: Ask,
     },
     /// The disk has synced what the answer rests on.
     Safe {
-        quest: u64,
+        operation: u64,
         from: usize,
         machine: usize,
         life: u64,
@@ -67,7 +67,7 @@
         told: Told,
     },
     Told {
-        quest: u64,
+        operation: u64,
         machine: usize,
         ask: Ask,
         told: Told,
@@ -88,13 +88,13 @@
     machines: Vec<Machine>,
     /// The machine that is cut off from all others.
     cut: Option<usize>,
-    quests: BTreeMap<u64, Running>,
+    operations: BTreeMap<u64, Running>,
     next: u64,
     events: BinaryHeap<std::cmp::Reverse<(Time, u64, Event)>>,
     sent: u64,
     held: u64,
     version: u64,
-    sets: BTreeMap<u64, Seats>,
+    sets: BTreeMap<u64, Membership>,
     /// Until when a fault lasts, and since when all has been calm.
     calm_since: Time,
     faults: Vec<String>,
@@ -106,29 +106,38 @@
     broken: bool,
 }
 
-fn seat_of(machine: &Machine) -> Seat {
-    Seat { disk: machine.cell.kept().disk.clone(), address: machine.address.clone() }
+fn member_of(machine: &Machine) -> Member {
+    Member { disk: machine.replica.kept().disk.clone(), address: machine.address.clone() }
 }
 
 impl World {
     fn new(seed: u64, keeps_name: bool) -> Self {
-        let first = Seats::new(
+        let first = Membership::new(
             1,
-            (0..3).map(|n| Seat { disk: format!("first{n}").into(), address: format!("m{n}") }).collect(),
+            (0..3).map(|n| Member { disk: format!("first{n}").into(), address: format!("m{n}") }).collect(),
         );
         let machine = |n: usize| {
             let name: Arc<str> = if n < 3 { format!("first{n}") } else { format!("d{n}") }.into();
-            let cell = Cell::empty(name, first.clone());
-            let disk = cell.clone();
+            let replica = Replica::empty(name, first.clone());
+            let disk = replica.clone();
             let (known, watch) = (first.clone(), Watch::default());
-            Machine { address: format!("m{n}"), up: true, life: 1, cell, disk, known, watch, changing: false }
+            Machine {
+                address: format!("m{n}"),
+                up: true,
+                life: 1,
+                replica,
+                disk,
+                known,
+                watch,
+                changing: false,
+            }
         };
         let mut world = World {
             rng: fastrand::Rng::with_seed(seed),
             now: 0,
             machines: (0..5).map(machine).collect(),
             cut: None,
-            quests: BTreeMap::new(),
+            operations: BTreeMap::new(),
             next: 0,
             events: BinaryHeap::new(),
             sent: 0,
@@ -161,34 +170,34 @@
         self.now >= self.calm_since + CALM_ENOUGH
     }
 
-    fn post(&mut self, quest: u64, asks: Vec<(Seat, Ask)>) {
-        let Some(from) = self.quests.get(&quest).map(|q| q.machine) else { return };
-        for (seat, ask) in asks {
+    fn post(&mut self, operation: u64, asks: Vec<(Member, Ask)>) {
+        let Some(from) = self.operations.get(&operation).map(|q| q.machine) else { return };
+        for (member, ask) in asks {
             if self.rng.u32(0..self.loss) > 0 {
                 let wait = self.rng.u64(1..30);
-                self.after(wait, Event::Ask { quest, from, to: seat.address, ask });
+                self.after(wait, Event::Ask { operation, from, to: member.address, ask });
             }
         }
     }
 
-    fn begin(&mut self, machine: usize, mut quest: Quest, aim: Aim) {
+    fn begin(&mut self, machine: usize, mut operation: Operation, aim: Aim) {
         self.next += 1;
-        let asks = quest.begin();
+        let asks = operation.begin();
         let (life, now) = (self.machines[machine].life, self.now);
         let in_calm = self.is_calm();
-        let until = now + QUEST_MOST;
-        let running = Running { machine, life, quest, aim, asked: now, until, in_calm };
-        self.quests.insert(self.next, running);
+        let until = now + OPERATION_TIMEOUT;
+        let running = Running { machine, life, operation, aim, asked: now, until, in_calm };
+        self.operations.insert(self.next, running);
         self.post(self.next, asks);
     }
 
-    fn learn(&mut self, machine: usize, seats: &Seats) {
+    fn learn(&mut self, machine: usize, membership: &Membership) {
         let known = &mut self.machines[machine].known;
-        if seats.epoch > known.epoch {
-            *known = seats.clone();
+        if membership.epoch > known.epoch {
+            *known = membership.clone();
         }
-        let set = self.sets.entry(seats.epoch).or_insert_with(|| seats.clone());
-        assert_eq!(set, seats, "an epoch has one set; {:?}", self.faults);
+        let set = self.sets.entry(membership.epoch).or_insert_with(|| membership.clone());
+        assert_eq!(set, membership, "an epoch has one set; {:?}", self.faults);
     }
 
     fn tick(&mut self, n: usize) {
@@ -199,41 +208,41 @@
         // News of the set, from any one that can be reached.
         let other = self.rng.usize(0..self.machines.len());
         if self.machines[other].up && self.reach(n, other) {
-            let seats = self.machines[other].known.clone();
-            self.learn(n, &seats);
+            let membership = self.machines[other].known.clone();
+            self.learn(n, &membership);
         }
-        let live: Vec<Seat> = (0..self.machines.len())
+        let live: Vec<Member> = (0..self.machines.len())
             .filter(|m| self.machines[*m].up && self.reach(n, *m))
-            .map(|m| seat_of(&self.machines[m]))
+            .map(|m| member_of(&self.machines[m]))
             .collect();
         let now = Duration::from_millis(self.now);
         let m = &mut self.machines[n];
         m.watch.look(now, &m.known, &live);
-        let me = m.cell.kept().disk.clone();
+        let me = m.replica.kept().disk.clone();
         let next = m.watch.next(now, &me, &m.known, &live).filter(|_| !m.changing);
         if let Some(next) = next {
             m.changing = true;
-            let quest = Quest::change(format!("{me}/{}", m.life).into(), m.known.clone(), Some(next));
-            self.begin(n, quest, Aim::Change);
+            let operation = Operation::change(format!("{me}/{}", m.life).into(), m.known.clone(), Some(next));
+            self.begin(n, operation, Aim::Change);
         }
         let again: Vec<u64> = self
-            .quests
+            .operations
             .iter()
-            .filter(|(_, q)| q.machine == n && q.asked + ASK_AGAIN < self.now)
+            .filter(|(_, q)| q.machine == n && q.asked + RESEND_AFTER < self.now)
             .map(|(number, _)| *number)
             .collect();
         for number in again {
             let life = self.machines[n].life;
-            let Some(running) = self.quests.get_mut(&number) else { continue };
+            let Some(running) = self.operations.get_mut(&number) else { continue };
             if running.until < self.now || running.life != life {
                 if running.aim == Aim::Change && running.life == life {
                     self.machines[n].changing = false;
                 }
-                self.quests.remove(&number);
+                self.operations.remove(&number);
                 continue;
             }
             running.asked = self.now;
-            let asks = running.quest.again();
+            let asks = running.operation.again();
             self.post(number, asks);
         }
     }
@@ -246,15 +255,15 @@
             return;
         }
         let m = &self.machines[at];
-        let by: Arc<str> = format!("{}/{}", m.cell.kept().disk, m.life).into();
-        let seats = m.known.clone();
+        let by: Arc<str> = format!("{}/{}", m.replica.kept().disk, m.life).into();
+        let membership = m.known.clone();
         if self.rng.bool() {
             self.version += 1;
-            let filed = Filed { version: self.version, text: format!("v{}", self.version).into() };
+            let stored = StoredConfig { version: self.version, text: format!("v{}", self.version).into() };
             self.puts_in_calm.0 += u64::from(self.is_calm());
-            self.begin(at, Quest::write(by, seats, filed), Aim::Put(self.version));
+            self.begin(at, Operation::write(by, membership, stored), Aim::Put(self.version));
         } else {
-            self.begin(at, Quest::read(by, seats, None), Aim::Get { floor: self.held });
+            self.begin(at, Operation::read(by, membership, None), Aim::Get { floor: self.held });
         }
     }
 
@@ -264,7 +273,7 @@
         m.up = false;
         m.life += 1;
         if !power {
-            m.disk = m.cell.clone();
+            m.disk = m.replica.clone();
         }
         self.after(wait, Event::Back { machine: n, wiped });
     }
@@ -274,12 +283,13 @@
         let keeps = self.keeps_name;
         let m = &mut self.machines[n];
         if wiped {
-            let kept = m.cell.kept().clone();
-            let (name, seats) = if keeps { (kept.disk, kept.seats) } else { (name, Seats::default()) };
-            m.disk = Cell::empty(name, seats);
+            let kept = m.replica.kept().clone();
+            let (name, membership) =
+                if keeps { (kept.disk, kept.membership) } else { (name, Membership::default()) };
+            m.disk = Replica::empty(name, membership);
         }
-        (m.cell, m.up, m.changing, m.watch) = (m.disk.clone(), true, false, Watch::default());
-        m.known = m.cell.kept().seats.clone();
+        (m.replica, m.up, m.changing, m.watch) = (m.disk.clone(), true, false, Watch::default());
+        m.known = m.replica.kept().membership.clone();
     }
 
     fn fault(&mut self) {
@@ -326,8 +336,8 @@
                 let found = found.map_or(0, |f| f.version);
                 self.broken |= found < floor;
             }
-            (Aim::Change, Outcome::Seated(seats)) => {
-                self.learn(running.machine, &seats);
+            (Aim::Change, Outcome::Seated(membership)) => {
+                self.learn(running.machine, &membership);
                 self.machines[running.machine].changing = false;
             }
             _ => {}
@@ -341,37 +351,37 @@
             Event::Fault => self.fault(),
             Event::Heal => self.cut = None,
             Event::Back { machine, wiped } => self.back(machine, wiped),
-            Event::Ask { quest, from, to, ask } => {
+            Event::Ask { operation, from, to, ask } => {
                 let at = self.machines.iter().position(|m| m.address == to && m.up);
                 let Some(at) = at.filter(|at| self.reach(from, *at)) else { return };
-                let (told, changed) = self.machines[at].cell.asked(&ask);
+                let (told, changed) = self.machines[at].replica.asked(&ask);
                 let life = self.machines[at].life;
                 let wait = if changed == Default::default() { 1 } else { self.rng.u64(5..40) };
-                self.after(wait, Event::Safe { quest, from, machine: at, life, ask, told });
+                self.after(wait, Event::Safe { operation, from, machine: at, life, ask, told });
             }
-            Event::Safe { quest, from, machine, life, ask, told } => {
+            Event::Safe { operation, from, machine, life, ask, told } => {
                 if self.machines[machine].life != life {
                     return;
                 }
                 // All that changed so far is on disk by now.
                 let m = &mut self.machines[machine];
-                m.disk = m.cell.clone();
+                m.disk = m.replica.clone();
                 if self.reach(from, machine) && self.rng.u32(0..self.loss) > 0 {
                     let wait = self.rng.u64(1..30);
-                    self.after(wait, Event::Told { quest, machine: from, ask, told });
+                    self.after(wait, Event::Told { operation, machine: from, ask, told });
                 }
             }
-            Event::Told { quest, machine, ask, told } => {
-                let Some(running) = self.quests.get_mut(&quest) else { return };
+            Event::Told { operation, machine, ask, told } => {
+                let Some(running) = self.operations.get_mut(&operation) else { return };
                 if running.life != self.machines[machine].life {
                     return;
                 }
-                let (asks, outcome) = running.quest.told(&ask, told);
-                let seats = running.quest.seats().clone();
-                self.learn(machine, &seats);
-                self.post(quest, asks);
+                let (asks, outcome) = running.operation.told(&ask, told);
+                let membership = running.operation.membership().clone();
+                self.learn(machine, &membership);
+                self.post(operation, asks);
                 if let Some(outcome) = outcome
-                    && let Some(running) = self.quests.remove(&quest)
+                    && let Some(running) = self.operations.remove(&operation)
                 {
                     self.ended(running, outcome);
                 }
