Readiness, silence, drains and the duty of hearing rest on contact with a majority

Cause: a control node that is cut off called servers silent and processes down that it merely could not hear, a gateway that started beside it was ready on its word alone, a drain was acknowledged once any control nodes had answered (at once by one that knows no membership), and the duty of hearing had no epoch. Change: a control node that hears no majority of the members says nothing of others and says so in its digests; a gateway is ready after a control node has read the register after its question and has compared itself with a majority; an update is confirmed by a majority of the members by disk, over the link that was asked, of each membership in force meanwhile; the duty of hearing is taken under a term that a majority confirms, and claims under earlier terms are void everywhere.

--- a/crates/gossip/src/directory.rs
+++ b/crates/gossip/src/directory.rs
@@ -5,11 +5,14 @@
 
 use ashvane_quorum::Membership;
 
-use crate::{BUCKETS, Buckets, Digest, Node, NodeRank, Server, State, Summary, Update, bucket, hash};
+use crate::{
+    Authority, BUCKETS, Buckets, Digest, HearingTerm, Node, NodeRank, Server, ServerRank, Silence, State,
+    Summary, Update, bucket, hash,
+};
 
 /// Beats missed in a row after which a server counts as silent: one or two are lost when its keeper changes.
 const MISSED: u32 = 5;
-/// Time after which another process hears for the servers of one that is down: theirs beat elsewhere by then.
+/// Time after which the servers of a control node that is down are waited for: they beat elsewhere by then.
 const ADOPTED_AFTER: Duration = Duration::from_secs(10);
 /// A tick this much later than the one before shows that this process stood still, and heard nobody.
 const STOOD_STILL: Duration = Duration::from_millis(1500);
@@ -39,6 +42,10 @@
     heard: BTreeMap<String, (Duration, u64)>,
     /// Since when each process has been down.
     down: BTreeMap<String, Duration>,
+    /// Since when servers are known of a control node that is not.
+    unknown: BTreeMap<String, Duration>,
+    /// The highest term of the duty of hearing: what is claimed under an earlier one is void.
+    hearing: HearingTerm,
     ended: BTreeMap<String, Duration>,
     beat_every: Duration,
     ticked: Duration,
@@ -50,7 +57,8 @@
 
 impl Directory {
     pub fn new(me: Node, beat_every: Duration, now: Duration) -> Self {
-        let (nodes, servers, addresses, membership, heard, down, ended) = Default::default();
+        let (nodes, servers, addresses, membership, heard, down, unknown, hearing, ended) =
+            Default::default();
         let mut directory = Directory {
             me: me.clone(),
             nodes,
@@ -59,6 +67,8 @@
             membership,
             heard,
             down,
+            unknown,
+            hearing,
             ended,
             beat_every,
             ticked: now,
@@ -93,6 +103,11 @@
         &self.membership
     }
 
+    /// The highest term of the duty of hearing that is known here.
+    pub fn hearing(&self) -> &HearingTerm {
+        &self.hearing
+    }
+
     pub fn changes(&self) -> u64 {
         self.changes
     }
@@ -109,9 +124,9 @@
 
     /// What has ended is left out: some have forgotten it, and others have not.
     fn server_hash(server: &Server) -> u64 {
-        let tail = [server.state as u8, u8::from(server.silent)];
         let counts = server.state < State::Gone;
-        if counts { hash(&[server.id.as_bytes(), &server.seq.to_le_bytes(), &tail]) } else { 0 }
+        let (state, silence) = ([server.state as u8], server.silence.as_bytes());
+        if counts { hash(&[server.id.as_bytes(), &server.seq.to_le_bytes(), &state, &silence]) } else { 0 }
     }
 
     /// The one place where a process's entry changes.
@@ -121,6 +136,7 @@
         } else {
             self.down.remove(&node.name);
         }
+        self.unknown.remove(&node.name);
         let part = bucket(&node.name);
         self.entries[part] ^= Self::node_hash(&node);
         if let Some(before) = self.nodes.insert(node.name.clone(), node) {
@@ -143,12 +159,43 @@
         let part = bucket(&server.id);
         self.entries[part] ^= Self::server_hash(&server);
         if let Some(before) = self.servers.insert(server.id.clone(), server) {
-            debug_assert!(before.rank() <= self.servers[&before.id].rank(), "an entry's rank only rises");
+            let valid = |s: &Server| s.silence.is_valid(&self.hearing);
+            debug_assert!(
+                !valid(&before) || before.rank() <= self.servers[&before.id].rank(),
+                "an entry's rank only rises"
+            );
+            debug_assert!(valid(&self.servers[&before.id]), "what is claimed under an earlier term is void");
             self.entries[part] ^= Self::server_hash(&before);
         }
         self.changes += 1;
     }
 
+    /// The one place where the term of the duty of hearing changes: it only rises. All that was claimed under
+    /// earlier ones is void from here on; those servers stand in the answer as they were heard.
+    fn raise_hearing(&mut self, term: HearingTerm, now: Duration) -> Vec<Update> {
+        if term <= self.hearing {
+            return Vec::new();
+        }
+        let part = bucket(HearingTerm::ENTRY);
+        self.entries[part] ^= self.hearing.hash() ^ term.hash();
+        self.hearing = term.clone();
+        self.changes += 1;
+        let void = self.servers.values().filter(|s| !s.silence.is_valid(&term));
+        let heard: Vec<Server> = void.map(|s| Server { silence: Silence::Heard, ..s.clone() }).collect();
+        heard.iter().for_each(|server| self.put_server(server.clone(), now));
+        let heard = heard.into_iter().map(Update::Server);
+        std::iter::once(Update::Hearing(term)).chain(heard).collect()
+    }
+
+    /// The term under which this process may take the duty of hearing: above all that it knows. None while others
+    /// know a later membership.
+    pub fn next_hearing(&self) -> Option<HearingTerm> {
+        let (epoch, known) = (self.membership.epoch, &self.hearing);
+        let round = if known.epoch == epoch { known.round + 1 } else { 1 };
+        let holder = self.me.name.clone();
+        (known.epoch <= epoch).then_some(HearingTerm { epoch, round, holder })
+    }
+
     /// Takes over an entry if it is newer; what has to be told on stands in the answer: the entry itself, or
     /// what had to be said against it.
     pub fn learn(&mut self, updates: Update, now: Duration) -> Vec<Update> {
@@ -159,8 +206,11 @@
                 }
                 self.membership = membership;
                 self.changes += 1;
-                vec![Update::Membership(self.membership.clone())]
+                let mut told = vec![Update::Membership(self.membership.clone())];
+                told.extend(self.raise_hearing(HearingTerm::of_epoch(self.membership.epoch), now));
+                told
             }
+            Update::Hearing(term) => self.raise_hearing(term, now),
             Update::Node(node) if node.name == self.me.name => {
                 let other = node.life != self.me.life || node.down;
                 if !other || node.rank() < self.me.rank() {
@@ -178,11 +228,19 @@
                 self.put_node(node.clone(), now);
                 vec![Update::Node(node)]
             }
-            Update::Server(server) => {
+            Update::Server(mut server) => {
+                let mut told = Vec::new();
+                if let Silence::Claimed(term) = &server.silence {
+                    told = self.raise_hearing(term.clone(), now);
+                }
+                // A claim under an earlier term is refused; that the server was heard before stands.
+                if !server.silence.is_valid(&self.hearing) {
+                    server.silence = Silence::Heard;
+                }
                 if self.servers.get(&server.id).is_some_and(|held| held.rank() >= server.rank()) {
-                    return Vec::new();
+                    return told;
                 }
-                let mut told = self.take_address(&server.id, &server.address, server.state, now);
+                told.extend(self.take_address(&server.id, &server.address, server.state, now));
                 self.put_server(server.clone(), now);
                 told.push(Update::Server(server));
                 told
@@ -197,7 +255,7 @@
         let Some(before) = before.and_then(|held| self.servers.get(held)) else { return Vec::new() };
         // Of two that nobody has heard together, the one that is heard of as new may be the older one: only
         // what is silent or leaving is ended for certain; else the server itself tells, by 421.
-        if !before.silent && before.state == State::Ready && !self.heard.contains_key(id) {
+        if !before.is_silent() && before.state == State::Ready && !self.heard.contains_key(id) {
             return Vec::new();
         }
         let ended = Server { state: State::Gone, ..before.clone() };
@@ -216,13 +274,13 @@
         if beat.state < State::Gone && !late {
             self.heard.insert(beat.id.clone(), (now, beat.seq));
         }
-        let same = |s: &Server| s.state >= beat.state && !s.silent && s.keeper == self.me.name;
-        if known.is_some_and(|s| same(s) || (late && s.state >= beat.state)) {
+        // The entry stems from this heartbeat, or from a later one that came elsewhere.
+        let told_before = |s: &Server| s.seq >= beat.seq;
+        let same = |s: &Server| !s.is_silent() && s.keeper == self.me.name;
+        if known.is_some_and(|s| s.state >= beat.state && (late || told_before(s) || same(s))) {
             return Vec::new();
         }
         let state = known.map_or(beat.state, |s| s.state.max(beat.state));
-        // One more than what was told before, so that this entry stands above it even where its number is not.
-        let seq = known.map_or(seq, |s| seq.max(s.seq + 1));
         let mut told = self.take_address(&beat.id, &beat.address, beat.state, now);
         let server = Server {
             id: beat.id,
@@ -232,7 +290,7 @@
             capacity: beat.capacity,
             state,
             seq,
-            silent: false,
+            silence: Silence::Heard,
             keeper: self.me.name.clone(),
         };
         self.put_server(server.clone(), now);
@@ -250,7 +308,7 @@
             capacity: 0,
             state: State::Ready,
             seq: 0,
-            silent: false,
+            silence: Silence::Heard,
             keeper: self.me.name.clone(),
         };
         let server = self.servers.get(id).cloned().unwrap_or_else(blank);
@@ -272,45 +330,78 @@
         vec![Update::Node(node)]
     }
 
-    /// Looks for servers that fell silent. `first`: whether this process has the duty to hear for the servers
-    /// of those that are down.
-    pub fn tick(&mut self, first: bool, now: Duration) -> Vec<Update> {
-        let (still, silent_after) = (now.saturating_sub(self.ticked) > STOOD_STILL, self.beat_every * MISSED);
-        self.ticked = now;
-        if still {
-            self.heard.values_mut().for_each(|(at, _)| *at = now);
+    /// Since when the control node that heard a server is down, or known to nobody here.
+    fn gone_since(&self, keeper: &str) -> Option<Duration> {
+        self.down.get(keeper).or_else(|| self.unknown.get(keeper)).copied()
+    }
+
+    /// Whether a server has missed its heartbeats at a control node that is gone: what the duty of hearing is for.
+    fn is_orphan(&self, server: &Server, now: Duration) -> bool {
+        let waited = ADOPTED_AFTER + self.beat_every * MISSED;
+        let gone = self.gone_since(&server.keeper).is_some_and(|at| at + waited < now);
+        gone && server.state < State::Gone && !server.is_silent()
+    }
+
+    /// Whether the holder of the duty of hearing would have anything to say.
+    pub fn has_orphans(&self, now: Duration) -> bool {
+        self.servers.values().any(|s| self.is_orphan(s, now))
+    }
+
+    fn look_at_unknown(&mut self, now: Duration) {
+        let keepers: BTreeSet<&String> =
+            self.servers.values().filter(|s| s.state < State::Gone).map(|s| &s.keeper).collect();
+        self.unknown.retain(|keeper, _| keepers.contains(keeper));
+        for keeper in keepers.into_iter().filter(|k| !self.nodes.contains_key(*k)) {
+            self.unknown.entry(keeper.clone()).or_insert(now);
         }
+    }
+
+    fn forget_ended(&mut self, now: Duration) {
         let kept = |at: &Duration| *at + REMEMBERED > now;
         let forgotten: BTreeSet<_> =
             self.ended.iter().filter(|(_, at)| !kept(at)).map(|(id, _)| id.clone()).collect();
         self.ended.retain(|_, at| kept(at));
         self.servers.retain(|id, _| !forgotten.contains(id));
-        let orphan = |s: &Server| {
-            let gone = self.down.get(&s.keeper).is_some_and(|at| *at + ADOPTED_AFTER < now);
-            first && (gone || !self.nodes.contains_key(&s.keeper))
-        };
-        let mine = |s: &&Server| s.state < State::Gone && !s.silent;
-        let mut changed = Vec::new();
-        for s in self.servers.values().filter(mine) {
+    }
+
+    /// Looks for servers that fell silent, as far as this process may say so.
+    pub fn tick(&mut self, authority: &Authority, now: Duration) -> Vec<Update> {
+        let still = now.saturating_sub(self.ticked) > STOOD_STILL;
+        self.ticked = now;
+        if still || *authority == Authority::None {
+            // Nobody could be heard: missed heartbeats are counted anew.
+            self.heard.values_mut().for_each(|(at, _)| *at = now);
+        }
+        self.forget_ended(now);
+        self.look_at_unknown(now);
+        if *authority == Authority::None {
+            return Vec::new();
+        }
+        let silent_after = self.beat_every * MISSED;
+        let mut silent = Vec::new();
+        for s in self.servers.values().filter(|s| s.state < State::Gone && !s.is_silent()) {
             if s.keeper == self.me.name {
                 let (at, seq) = *self.heard.entry(s.id.clone()).or_insert((now, s.seq));
                 if at + silent_after < now {
-                    changed.push(Server { silent: true, seq: s.seq.max(seq), ..s.clone() });
+                    silent.push(Server { silence: Silence::Missed, seq: s.seq.max(seq), ..s.clone() });
                 }
-            } else if orphan(s) {
-                changed.push(Server { keeper: self.me.name.clone(), seq: s.seq + 1, ..s.clone() });
+            } else if let Authority::Holder(term) = authority
+                && *term == self.hearing
+                && self.is_orphan(s, now)
+            {
+                silent.push(Server { silence: Silence::Claimed(term.clone()), ..s.clone() });
             }
         }
-        for server in &changed {
+        for server in &silent {
             self.put_server(server.clone(), now);
         }
-        changed.into_iter().map(Update::Server).collect()
+        silent.into_iter().map(Update::Server).collect()
     }
 
     pub fn digest(&self, version: u64) -> Digest {
         // Joined so that two parts that differ alike do not cancel out.
         let entries = self.entries.iter().fold(0u64, |all, e| all.rotate_left(5) ^ e);
-        Digest { entries, epoch: self.membership.epoch, version }
+        Digest { entries, epoch: self.membership.epoch, version, alone: false }
     }
 
     pub fn buckets(&self) -> Buckets {
@@ -332,6 +423,7 @@
             nodes: nodes.map(|(name, n)| (name.clone(), n.rank())).collect(),
             servers: servers.map(|(id, s)| (id.clone(), s.rank())).collect(),
             epoch: self.membership.epoch,
+            hearing: self.hearing.clone(),
         }
     }
 
@@ -347,17 +439,32 @@
         });
         let membership =
             (summary.epoch < self.membership.epoch).then(|| Update::Membership(self.membership.clone()));
+        let hearing = (summary.hearing < self.hearing).then(|| Update::Hearing(self.hearing.clone()));
         let nodes = nodes.cloned().map(Update::Node);
-        nodes.chain(servers.cloned().map(Update::Server)).chain(membership).collect()
+        nodes.chain(servers.cloned().map(Update::Server)).chain(membership).chain(hearing).collect()
+    }
+
+    /// Whether an update is in force here, or something that stands above it. A term of the duty of hearing is in
+    /// force only as long as it is the highest.
+    pub fn knows(&self, update: &Update) -> bool {
+        match update {
+            Update::Node(node) => self.nodes.get(&node.name).is_some_and(|n| n.rank() >= node.rank()),
+            Update::Server(server) => match self.servers.get(&server.id) {
+                Some(held) => held.rank() >= server.rank(),
+                None => server.state == State::Gone,
+            },
+            Update::Membership(membership) => self.membership.epoch >= membership.epoch,
+            Update::Hearing(term) => self.hearing == *term,
+        }
     }
 
     /// Whether another knows something newer than this one does.
     pub fn is_behind(&self, summary: &Summary) -> bool {
         let node = |(name, rank): (&String, &NodeRank)| self.nodes.get(name).is_none_or(|n| n.rank() < *rank);
-        let server = |(id, rank): (&String, &(State, u64, bool))| {
-            self.servers.get(id).is_none_or(|s| s.rank() < *rank)
-        };
+        let server =
+            |(id, rank): (&String, &ServerRank)| self.servers.get(id).is_none_or(|s| s.rank() < *rank);
         summary.epoch > self.membership.epoch
+            || summary.hearing > self.hearing
             || summary.nodes.iter().any(node)
             || summary.servers.iter().any(server)
     }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Directory`] is the state, without I/O or a clock; [`peers`] says who talks to whom.
 
 mod directory;
+mod hearing;
 mod peers;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 use siphasher::sip::SipHasher13;
 
 pub use directory::{Directory, Heartbeat};
+pub use hearing::{Authority, HearingTerm, Silence};
 pub use peers::{Role, peers};
 
 /// A process of the system.
@@ -58,9 +60,10 @@
     pub state: State,
     /// Of its beats, the one that this entry stems from.
     pub seq: u64,
-    /// Nothing was heard of it for a while.
-    pub silent: bool,
-    /// Who hears its beats.
+    /// Whether it has missed heartbeats since, and who says so.
+    #[serde(default, skip_serializing_if = "Silence::is_heard")]
+    pub silence: Silence,
+    /// The control node that heard that heartbeat.
     pub keeper: String,
 }
 
@@ -73,9 +76,23 @@
 }
 
 impl Server {
-    fn rank(&self) -> (State, u64, bool) {
-        (self.state, self.seq, self.silent)
+    fn rank(&self) -> ServerRank {
+        ServerRank { state: self.state, seq: self.seq, silence: self.silence.clone() }
     }
+
+    pub fn is_silent(&self) -> bool {
+        !self.silence.is_heard()
+    }
+}
+
+/// What tells which of two entries of a server is the newer one. A server's own word, by its number, stands above
+/// whatever was said of its silence before.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerRank {
+    pub state: State,
+    pub seq: u64,
+    #[serde(default, skip_serializing_if = "Silence::is_heard")]
+    pub silence: Silence,
 }
 
 /// What tells which of two entries of a process is the newer one.
@@ -87,6 +104,8 @@
     Node(Node),
     Server(Server),
     Membership(Membership),
+    /// A process takes the duty of hearing, under this term.
+    Hearing(HearingTerm),
 }
 
 /// Tells whether two know the same, in a few bytes.
@@ -95,6 +114,9 @@
     pub entries: u64,
     pub epoch: u64,
     pub version: u64,
+    /// A control node says so that is in contact with no majority of the members.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub alone: bool,
 }
 
 /// Entries fall into so many parts by their names, so that only those that differ are gone through.
@@ -113,8 +135,10 @@
     /// A bit for each part.
     pub parts: u32,
     pub nodes: BTreeMap<String, NodeRank>,
-    pub servers: BTreeMap<String, (State, u64, bool)>,
+    pub servers: BTreeMap<String, ServerRank>,
     pub epoch: u64,
+    #[serde(default)]
+    pub hearing: HearingTerm,
 }
 
 fn bucket(name: &str) -> usize {
--- a/crates/gossip/tests/updates.rs
+++ b/crates/gossip/tests/updates.rs
@@ -4,7 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use ashvane_gossip::{Directory, Heartbeat, Node, Role, State, Update, peers};
+use ashvane_gossip::{
+    Authority, Directory, HearingTerm, Heartbeat, Node, Role, Silence, State, Update, peers,
+};
+use ashvane_quorum::Membership;
 
 const BEAT: Duration = Duration::from_millis(1000);
 
@@ -34,6 +37,8 @@
     /// Those whose word that they leave was taken in by some directory that still has it.
     leaving: BTreeSet<String>,
     born: u64,
+    /// The term that each believes to hold; some have been overtaken and don't know it.
+    holding: Vec<Option<HearingTerm>>,
 }
 
 impl Hall {
@@ -48,6 +53,24 @@
             servers: BTreeMap::new(),
             leaving: BTreeSet::new(),
             born: 0,
+            holding: vec![None; boards],
+        }
+    }
+
+    /// Two of them take the duty of hearing time and again, whatever the other one does.
+    fn authority(&mut self, at: usize) -> Authority {
+        if at < 2
+            && self.rng.usize(0..10) == 0
+            && let Some(term) = self.boards[at].next_hearing()
+        {
+            let told = self.boards[at].learn(Update::Hearing(term.clone()), self.now);
+            self.tell(at, told);
+            self.holding[at] = Some(term);
+        }
+        match (at < 4 && self.rng.usize(0..10) > 0, self.holding[at].clone()) {
+            (false, _) => Authority::None,
+            (true, Some(term)) => Authority::Holder(term),
+            (true, None) => Authority::Own,
         }
     }
 
@@ -125,6 +148,7 @@
                 self.lives += 1;
                 let life = self.lives;
                 self.boards[at] = Directory::new(node(at, life), BEAT, self.now);
+                self.holding[at] = None;
             }
             39..42 if crashes => {
                 let (from, of) = (self.rng.usize(0..self.boards.len()), self.rng.usize(0..self.boards.len()));
@@ -133,7 +157,8 @@
             }
             42..60 => {
                 let at = self.rng.usize(0..self.boards.len());
-                let told = self.boards[at].tick(at == 0, self.now);
+                let authority = self.authority(at);
+                let told = self.boards[at].tick(&authority, self.now);
                 self.tell(at, told);
             }
             60..70 => {
@@ -223,13 +248,13 @@
     let mut told = Vec::new();
     while told.is_empty() && at < BEAT * 20 {
         at += BEAT / 4;
-        told = directory.tick(false, at);
+        told = directory.tick(&Authority::Own, at);
     }
     assert!(at > BEAT * 4 && at < BEAT * 7, "{at:?}");
-    assert!(matches!(&told[..], [Update::Server(s)] if s.silent && s.state == State::Ready));
+    assert!(matches!(&told[..], [Update::Server(s)] if s.is_silent() && s.state == State::Ready));
     assert_eq!(directory.beat(beat("a", "x:1", State::Ready, 2), at).len(), 1, "it is heard again");
     // This process stood still for longer than everything.
-    assert!(directory.tick(false, at + BEAT * 100).is_empty());
+    assert!(directory.tick(&Authority::Own, at + BEAT * 100).is_empty());
 }
 
 #[test]
@@ -302,3 +327,88 @@
         assert_eq!(back.digest(1), other.digest(1));
     }
 }
+
+/// Guards against a control node that is cut off and takes for silent what it merely can't hear.
+#[test]
+fn who_may_be_cut_off_calls_nobody_silent_and_counts_anew_afterwards() {
+    let mut directory = Directory::new(node(0, 1), BEAT, Duration::ZERO);
+    directory.beat(beat("a", "x:1", State::Ready, 1), Duration::ZERO);
+    let mut at = Duration::ZERO;
+    let mut ticks = |authority, until| {
+        while at < until {
+            at += BEAT / 4;
+            if !directory.tick(authority, at).is_empty() {
+                return Some(at);
+            }
+        }
+        None
+    };
+    assert_eq!(ticks(&Authority::None, BEAT * 30), None);
+    let silent = ticks(&Authority::Own, BEAT * 60).expect("it is back, and the server is not");
+    assert!(silent > BEAT * 34, "{silent:?}");
+}
+
+/// A directory that knows a server of `n1`, which has been down for long.
+fn with_an_orphan(number: usize) -> Directory {
+    let mut directory = Directory::new(node(number, number as u64), BEAT, Duration::ZERO);
+    let mut lost = Directory::new(node(1, 1), BEAT, Duration::ZERO);
+    let updates = lost.beat(beat("a", "x:1", State::Ready, 1), Duration::ZERO);
+    let known = std::iter::once(Update::Node(lost.me().clone())).chain(updates);
+    known.for_each(|update| drop(directory.learn(update, Duration::ZERO)));
+    directory.node_lost("n1", Duration::ZERO);
+    directory
+}
+
+fn silence(directory: &Directory) -> Silence {
+    directory.server("a").expect("known").silence.clone()
+}
+
+/// Guards against a holder of the duty of hearing that was overtaken and does not know it: what it claims is refused by
+/// whoever knows the later term, void for whoever took it in before, and all agree.
+#[test]
+fn a_claim_under_an_earlier_term_is_refused_and_void() {
+    let late = BEAT * 40;
+    let (mut stale, mut other, mut newer) = (with_an_orphan(0), with_an_orphan(2), with_an_orphan(3));
+    let earlier = stale.next_hearing().expect("a term");
+    stale.learn(Update::Hearing(earlier.clone()), late);
+    assert!(stale.tick(&Authority::Own, late).is_empty(), "without the duty it says nothing");
+    let claim = stale.tick(&Authority::Holder(earlier.clone()), late);
+    assert_eq!(silence(&stale), Silence::Claimed(earlier.clone()));
+    // One takes the claim in, another has learnt of a later term.
+    claim.iter().for_each(|update| drop(other.learn(update.clone(), late)));
+    assert_eq!(silence(&other), Silence::Claimed(earlier.clone()));
+    newer.learn(Update::Hearing(earlier.clone()), late);
+    let later = newer.next_hearing().expect("a term");
+    assert!(later > earlier);
+    newer.learn(Update::Hearing(later.clone()), late);
+    claim.iter().for_each(|update| drop(newer.learn(update.clone(), late)));
+    assert_eq!(silence(&newer), Silence::Heard, "a claim under an earlier term is refused");
+    assert!(!newer.knows(&Update::Hearing(earlier)), "an earlier term is not confirmed");
+    other.learn(Update::Hearing(later.clone()), late);
+    assert_eq!(silence(&other), Silence::Heard, "what was claimed under an earlier term is void");
+    stale.learn(Update::Hearing(later.clone()), late);
+    assert_eq!(silence(&stale), Silence::Heard);
+    assert_eq!(newer.tick(&Authority::Holder(later), late).len(), 1, "the holder says it anew");
+}
+
+/// Guards against a claim that outlasts the membership it was made in, and one that stands above a server's own word.
+#[test]
+fn a_claim_ends_with_its_membership_and_with_the_next_heartbeat() {
+    let late = BEAT * 40;
+    let mut directory = with_an_orphan(0);
+    let membership = |epoch| Update::Membership(Membership { epoch, members: Vec::new() });
+    directory.learn(membership(1), late);
+    let term = directory.next_hearing().expect("a term");
+    directory.learn(Update::Hearing(term.clone()), late);
+    directory.tick(&Authority::Holder(term.clone()), late);
+    assert_eq!(silence(&directory), Silence::Claimed(term.clone()));
+    directory.learn(membership(2), late);
+    assert_eq!(silence(&directory), Silence::Heard);
+    assert!(directory.tick(&Authority::Holder(term), late).is_empty(), "the term has ended");
+    let term = directory.next_hearing().expect("a term");
+    directory.learn(Update::Hearing(term.clone()), late);
+    directory.tick(&Authority::Holder(term), late);
+    assert!(directory.server("a").is_some_and(|s| s.is_silent()));
+    directory.beat(beat("a", "x:1", State::Ready, 2), late);
+    assert_eq!(silence(&directory), Silence::Heard);
+}
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -2,17 +2,21 @@
 
 mod configuration;
 mod connections;
+mod contact;
 mod dissemination;
+mod hearing;
 mod membership;
 mod report;
 mod servers;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_gossip::{Digest, Directory, Heartbeat, Node, Server, State, Update, peers};
+use ashvane_gossip::{
+    Authority, Digest, Directory, HearingTerm, Heartbeat, Node, Server, Silence, State, Update, peers,
+};
 use ashvane_quorum::{Ask, Member, Membership, Outcome, StoredConfig, Watch, duty};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
@@ -20,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::config::Config;
+use crate::confirmation::Confirmation;
 use crate::data_plane::DataPlane;
 use crate::links::{Link, Links, Listener, Message, Net, dial};
 use crate::packed;
@@ -45,12 +50,6 @@
 /// Digests that differ in a row, after which updates has been missed.
 const DIFFERS: u32 = 2;
 
-struct Confirm {
-    need: usize,
-    got: BTreeSet<String>,
-    done: Option<oneshot::Sender<()>>,
-}
-
 pub struct Agent {
     pub settings: Settings,
     pub log: Logger,
@@ -65,7 +64,7 @@
     register: Option<Rc<Register>>,
     plane: Option<Rc<DataPlane>>,
     net: Rc<dyn Net>,
-    confirms: RefCell<BTreeMap<u64, Confirm>>,
+    confirmations: RefCell<BTreeMap<u64, Confirmation>>,
     numbers: Cell<u64>,
     dialled: RefCell<BTreeMap<String, Instant>>,
     unreached: RefCell<BTreeMap<String, Instant>>,
@@ -82,8 +81,14 @@
     hinted: Cell<(Instant, u64)>,
     /// A server has left since then.
     left: Cell<bool>,
-    /// Whether a process with a disk has told all that it knows.
+    /// Whether a control node in contact with a majority has told all that it knows, once in this life.
     synced: Cell<bool>,
+    /// Gateways that wait to hear that this control node is in contact with a majority, by link.
+    verifications: RefCell<BTreeMap<u64, u64>>,
+    answering: Cell<bool>,
+    /// The term under which this process holds the duty of hearing, once a majority of the members has taken it in.
+    holding: RefCell<Option<HearingTerm>>,
+    taking: Cell<bool>,
     /// Whether what a majority of the disks holds has been read since the start.
     read: Cell<bool>,
     reading: Cell<bool>,
@@ -111,7 +116,8 @@
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (stored, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
+        let (stored, config, confirmations, dialled, unreached, lost, watch, links) = Default::default();
+        let (verifications, answering, holding, taking) = Default::default();
         let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
@@ -125,7 +131,7 @@
             register: register.map(Rc::new),
             plane,
             net,
-            confirms,
+            confirmations,
             numbers: Cell::new(0),
             dialled,
             unreached,
@@ -138,6 +144,10 @@
             hinted: Cell::new((started, 0)),
             left: Cell::new(false),
             synced: Cell::new(alone),
+            verifications,
+            answering,
+            holding,
+            taking,
             read: Cell::new(false),
             reading: Cell::new(false),
             changing: Cell::new(false),
@@ -164,7 +174,7 @@
 
     /// Whether clients' requests can be served here.
     pub fn is_ready(&self) -> bool {
-        let knows = self.synced.get() && self.config.borrow().is_some();
+        let knows = (self.synced.get() || self.has_waited_for_a_majority()) && self.config.borrow().is_some();
         knows && !self.leaving.get() && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
     }
 
@@ -180,9 +190,11 @@
 
     pub fn tick(self: &Rc<Self>) {
         self.look_at_links();
-        let first = self.is_control_node() && self.is_first();
-        let told = self.directory.borrow_mut().tick(first, self.now());
+        self.look_at_hearing();
+        let authority = self.authority();
+        let told = self.directory.borrow_mut().tick(&authority, self.now());
         self.spread(told, None);
+        self.look_at_verifications();
         self.look_at_register();
         self.look_at_members();
         self.look_at_hints();
@@ -197,6 +209,10 @@
 
     /// All that is known here, and the version in force, in a few figures: alike where they are.
     pub fn digest(&self) -> Digest {
-        self.directory.borrow().digest(self.version())
+        self.digest_over(&self.links.borrow())
+    }
+
+    fn digest_over(&self, links: &Links) -> Digest {
+        Digest { alone: self.is_alone(links), ..self.directory.borrow().digest(self.version()) }
     }
 }
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -32,8 +32,8 @@
             let down = directory.nodes().filter(|n| self.is_control_node() && n.down && n.disk.is_some());
             let down = down.filter(|n| !unreached.contains_key(&n.address) && links.to(&n.name).is_none());
             wanted.extend(down.map(|n| n.address.clone()));
-            let control_nodes = links.iter().filter(|(_, l)| l.peer.disk.is_some()).count();
-            if control_nodes == 0 || (self.is_control_node() && directory.membership().epoch == 0) {
+            let useful = links.iter().filter(|(_, l)| self.is_useful(l)).count();
+            if useful == 0 || (self.is_control_node() && directory.membership().epoch == 0) {
                 let own = &directory.me().address;
                 wanted
                     .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
@@ -46,10 +46,13 @@
         wanted.into_iter().for_each(|address| self.call(address));
         self.look_at_feed();
         let lost: Vec<String> = {
+            // One that is cut off can't tell others that are down from those that it merely can't hear.
+            let watches = self.in_contact();
             let links = self.links.borrow();
             let mut lost = self.lost.borrow_mut();
             for (name, since) in lost.iter_mut() {
                 match links.to(name) {
+                    None if !watches => *since = Some(now),
                     Some(_) => *since = None,
                     None => *since = since.or(Some(now)),
                 }
@@ -68,7 +71,8 @@
         }
     }
 
-    /// A gatherer has one that tells it what changes: the first of its peers with a disk that is linked.
+    /// A gateway has one that tells it what changes: the first of its peers with a disk that is linked, and is not cut
+    /// off from the other ones, if there is such a one.
     pub(super) fn look_at_feed(&self) {
         if self.is_control_node() {
             return;
@@ -76,9 +80,11 @@
         let directory = self.directory.borrow();
         let mut links = self.links.borrow_mut();
         let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, |_| true);
-        let linked = chosen.iter().filter(|n| n.disk.is_some()).find_map(|n| links.to(&n.name));
-        let any = || links.iter().find(|(_, l)| l.peer.disk.is_some()).map(|(n, _)| n);
-        let feed = linked.or_else(any);
+        let chosen = chosen.iter().filter(|n| n.disk.is_some()).filter_map(|n| links.to(&n.name));
+        let any = links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(n, _)| n);
+        let ordered: Vec<u64> = chosen.chain(any).collect();
+        let in_contact = |n: &&u64| links.get(**n).is_some_and(|l| !l.alone);
+        let feed = ordered.iter().find(in_contact).or(ordered.first()).copied();
         let before = self.feed.replace(feed);
         if before != feed {
             if let Some(before) = before {
@@ -142,6 +148,8 @@
         let control_node = peer.disk.is_some();
         self.learn(vec![Update::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
+        self.ask_for_verification();
+        self.confirm_again();
         if let Some(register) = self.register.as_ref().filter(|_| control_node) {
             self.ask(register.look(true));
         }
@@ -151,12 +159,18 @@
         match line {
             Message::Hello(_) | Message::Packed(_) => {}
             Message::Update { number: asked, updates } => {
+                let wanted = (asked > 0).then(|| updates.clone());
                 self.learn(updates, Some(number));
-                if asked > 0 {
-                    self.links.borrow_mut().send(number, &Message::Got { number: asked });
+                if let Some(updates) = wanted {
+                    let directory = self.directory.borrow();
+                    let taken = updates.iter().all(|update| directory.knows(update));
+                    let got = Message::Got { number: asked, taken, epoch: directory.membership().epoch };
+                    self.links.borrow_mut().send(number, &got);
                 }
             }
-            Message::Got { number: asked } => self.confirmed(asked, number),
+            Message::Got { number: asked, taken, epoch } => self.confirmed(asked, number, taken, epoch),
+            Message::Verify { number: asked } => self.verify(number, asked),
+            Message::Verified { number: asked, digest } => self.verified(number, asked, digest),
             Message::Digest(digest) => self.compared_with(number, digest),
             Message::Feed(fed) => {
                 if let Some(link) = self.links.borrow_mut().get_mut(number) {
@@ -183,11 +197,15 @@
                 let mut links = self.links.borrow_mut();
                 if !updates.is_empty() {
                     links.send(number, &Message::Update { number: 0, updates });
+                    // The other side sees at once whether that was all.
+                    self.compare(&mut links, &[number]);
                 }
                 if let Some(mine) = mine {
                     links.send(number, &Message::Summary(mine));
-                } else if !behind && links.get_mut(number).is_some_and(|l| l.peer.disk.is_some()) {
-                    self.synced.set(true);
+                }
+                drop(links);
+                if !behind {
+                    self.has_compared(number);
                 }
             }
             Message::Want { above } => {
--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -42,11 +42,15 @@
             let mut directory = self.directory.borrow_mut();
             updates.into_iter().flat_map(|n| directory.learn(n, now)).collect()
         };
+        let moved = told.iter().any(|update| matches!(update, Update::Membership(_)));
         self.spread(told, from);
+        if moved {
+            self.membership_changed();
+        }
     }
 
     pub(super) fn compare(&self, links: &mut Links, numbers: &[u64]) {
-        links.send_all(numbers, &Message::Digest(self.digest()));
+        links.send_all(numbers, &Message::Digest(self.digest_over(links)));
     }
 
     /// A configuration that a majority of disks holds: from here on it is in force here.
@@ -79,9 +83,12 @@
                 register.ask_own(&Ask::Install { membership: Membership::default(), stored: Some(stored) });
             tokio::task::spawn_local(own);
         }
-        let mut links = self.links.borrow_mut();
-        let peers = links.peers();
-        self.compare(&mut links, &peers);
+        {
+            let mut links = self.links.borrow_mut();
+            let peers = links.peers();
+            self.compare(&mut links, &peers);
+        }
+        self.look_at_readiness();
     }
 
     /// A neighbour's digest: where it differs twice in a row, updates has been missed; before that it may be on its
@@ -92,17 +99,21 @@
         let mine = directory.digest(self.version());
         let mut links = self.links.borrow_mut();
         let Some(link) = links.get_mut(number) else { return };
+        link.alone = digest.alone;
         let control_node = link.peer.disk.is_some();
         if (mine.entries, mine.epoch) == (digest.entries, digest.epoch) {
             link.differs = 0;
-            if control_node {
-                self.synced.set(true);
-            }
+            drop((directory, links));
+            self.has_compared(number);
             return;
         }
         link.differs += 1;
-        let new_here = control_node && !self.synced.get();
-        if new_here || (link.differs >= DIFFERS && directory.me().name < link.peer.name) {
+        let begins = directory.me().name < link.peer.name;
+        let new_here = match self.is_control_node() {
+            true => control_node && !link.compared && begins,
+            false => control_node && !self.synced.get(),
+        };
+        if new_here || (link.differs >= DIFFERS && begins) {
             link.differs = 0;
             links.send(number, &Message::Buckets(directory.buckets()));
         }
--- a/crates/node/src/agent/report.rs
+++ b/crates/node/src/agent/report.rs
@@ -30,7 +30,7 @@
             .servers()
             .filter(|s| s.state < State::Gone)
             .map(|s| {
-                json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.silent,
+                json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.is_silent(),
                     "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
             })
             .collect();
@@ -47,12 +47,13 @@
             .collect();
         json!({
             "process": {"node": directory.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
-                "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
+                "in contact": self.in_contact(), "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
             "configuration": {"version": self.version(), "in force for s": since,
                 "on this disk": self.register.as_ref().and_then(|r| r.stored()).map(|f| f.version)},
             "duties": [
                 {"duty": "set of disks", "epoch": directory.membership().epoch, "held here": self.has_seats_duty()},
-                {"duty": "servers of lost control_nodes", "epoch": null, "held here": self.is_control_node() && self.is_first()},
+                {"duty": "servers of lost control nodes", "epoch": directory.hearing().epoch,
+                    "term": directory.hearing().round, "held here": self.holds_hearing()},
             ],
             "said": said, "disks": membership, "nodes": nodes, "servers": servers,
             "allotments": self.plane.as_ref().map_or(Value::Array(Vec::new()), |plane| plane.allotments()),
--- a/crates/node/src/agent/servers.rs
+++ b/crates/node/src/agent/servers.rs
@@ -1,70 +1,93 @@
 //! Servers: their heartbeats, the acknowledgement that one leaves, the list that is kept on disk as a hint.
 
+use ashvane_quorum::DiskId;
+
 use super::*;
 
 impl Agent {
-    /// A server has said something. One that leaves is acknowledged only once a majority of those that hear
-    /// servers knows it, so that it does not depend on this process.
+    /// A server has said something. One that leaves is acknowledged only once a majority of the members knows it, so
+    /// that it does not depend on this process.
     pub async fn beat(self: &Rc<Self>, beat: Heartbeat) -> bool {
         let leaves = beat.state > State::Ready;
         let id = beat.id.clone();
         let told = self.directory.borrow_mut().beat(beat, self.now());
         self.spread(told, None);
-        !leaves || self.confirm(&id).await
+        !leaves || self.confirm_server(&id).await
     }
 
     pub async fn left(self: &Rc<Self>, id: &str) -> bool {
         let told = self.directory.borrow_mut().left(id, self.now());
         self.spread(told, None);
-        self.confirm(id).await
+        self.confirm_server(id).await
+    }
+
+    async fn confirm_server(self: &Rc<Self>, id: &str) -> bool {
+        let server = self.directory.borrow().server(id).cloned();
+        let Some(server) = server else { return false };
+        self.confirm(Update::Server(server)).await
     }
 
-    pub(super) async fn confirm(self: &Rc<Self>, id: &str) -> bool {
-        let Some(server) = self.directory.borrow().server(id).cloned() else { return false };
-        let need = self.directory.borrow().membership().majority().saturating_sub(1);
-        if need == 0 {
-            return true;
+    /// Whether a majority of the members has taken in an update in time: of the membership in force, and of each that
+    /// followed it meanwhile. Where no majority is in contact the answer is no, at once.
+    pub(super) async fn confirm(self: &Rc<Self>, update: Update) -> bool {
+        if !self.in_contact() {
+            return false;
         }
-        let number = self.numbers.get() + 1;
-        self.numbers.set(number);
+        let number = self.next_number();
         let (done, confirmed) = oneshot::channel();
-        let confirm = Confirm { need, got: BTreeSet::new(), done: Some(done) };
-        self.confirms.borrow_mut().insert(number, confirm);
-        {
-            let mut links = self.links.borrow_mut();
-            let control_nodes: Vec<u64> =
-                links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(number, _)| number).collect();
-            links
-                .send_all(&control_nodes, &Message::Update { number, updates: vec![Update::Server(server)] });
-        }
+        let confirmation = {
+            let directory = self.directory.borrow();
+            Confirmation::new(update, directory.membership().clone(), directory.me().disk.clone(), done)
+        };
+        self.confirmations.borrow_mut().insert(number, confirmation);
+        self.confirm_again();
         let confirmed = tokio::time::timeout(CONFIRMED, confirmed).await;
-        self.confirms.borrow_mut().remove(&number);
+        self.confirmations.borrow_mut().remove(&number);
         matches!(confirmed, Ok(Ok(())))
     }
 
-    pub(super) fn confirmed(&self, number: u64, link: u64) {
+    /// Asks the members that are linked and have not been asked yet, over the links that they have now.
+    pub(super) fn confirm_again(&self) {
         let mut links = self.links.borrow_mut();
-        let Some(peer) = links.get_mut(link).filter(|l| l.peer.disk.is_some()) else { return };
-        let mut confirms = self.confirms.borrow_mut();
-        let Some(confirm) = confirms.get_mut(&number) else { return };
-        confirm.got.insert(peer.peer.name.clone());
-        if confirm.got.len() >= confirm.need
-            && let Some(done) = confirm.done.take()
-        {
-            let _ = done.send(());
+        let linked: Vec<(u64, DiskId)> =
+            links.iter().filter_map(|(number, l)| Some((number, l.peer.disk.clone()?))).collect();
+        for (number, confirmation) in self.confirmations.borrow_mut().iter_mut() {
+            let asked = confirmation.ask(&linked);
+            let line = Message::Update { number: *number, updates: vec![confirmation.update().clone()] };
+            links.send_all(&asked, &line);
+        }
+    }
+
+    pub(super) fn confirmed(&self, number: u64, link: u64, taken: bool, epoch: u64) {
+        if let Some(confirmation) = self.confirmations.borrow_mut().get_mut(&number) {
+            confirmation.answered(link, taken, epoch);
+        }
+    }
+
+    /// What waits for a majority waits for one of the next membership as well.
+    pub(super) fn membership_changed(&self) {
+        let membership = self.directory.borrow().membership().clone();
+        for confirmation in self.confirmations.borrow_mut().values_mut() {
+            confirmation.membership_changed(membership.clone());
         }
+        self.confirm_again();
+    }
+
+    pub(super) fn next_number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
     }
 
     /// Whether a server is known here as one that is ready and has been heard of late.
     pub fn offers_work_to(&self, id: &str) -> bool {
-        self.directory.borrow().server(id).is_some_and(|s| s.state == State::Ready && !s.silent)
+        self.directory.borrow().server(id).is_some_and(|s| s.state == State::Ready && !s.is_silent())
     }
 
     /// Servers that were known before a restart: until they beat, better than none. Some may have left since, so they
     /// count as silent here, and whatever others know of them stands above it.
     pub fn recall(&self, servers: Vec<Server>) {
-        let recalled = servers.into_iter().map(|s| Update::Server(Server { seq: 0, silent: true, ..s }));
-        self.learn(recalled.collect(), None);
+        let recalled = |s| Update::Server(Server { seq: 0, silence: Silence::Missed, ..s });
+        self.learn(servers.into_iter().map(recalled).collect(), None);
     }
 
     pub(super) fn look_at_hints(&self) {
--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -317,14 +317,14 @@
         let mut silent: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for s in listed.iter().filter(|s| s.state == State::Ready) {
             let (all, quiet) = silent.entry(&s.service).or_default();
-            (*all, *quiet) = (*all + 1, *quiet + usize::from(s.silent));
+            (*all, *quiet) = (*all + 1, *quiet + usize::from(s.is_silent()));
         }
         let health = |s: &Server| match s.state {
             State::Gone => Health::Gone,
             State::Draining => Health::Draining,
             // Most of a service is not silent at once: those who hear it are cut off from it.
             State::Ready
-                if s.silent && silent.get(&*s.service).is_some_and(|(all, quiet)| quiet * 2 <= *all) =>
+                if s.is_silent() && silent.get(&*s.service).is_some_and(|(all, quiet)| quiet * 2 <= *all) =>
             {
                 Health::Draining
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod agent;
 pub mod client;
 pub mod config;
+pub mod confirmation;
 pub mod control;
 pub mod data_plane;
 pub mod disk;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -37,8 +37,11 @@
         number: u64,
         updates: Vec<Update>,
     },
+    /// The answer: whether they are in force there, and the epoch of the membership that is known there.
     Got {
         number: u64,
+        taken: bool,
+        epoch: u64,
     },
     Digest(Digest),
     /// Where digests differ: those of each part.
@@ -59,6 +62,15 @@
         number: u64,
         told: Told,
     },
+    /// A gateway that starts asks a control node to compare itself with a majority of the members.
+    Verify {
+        number: u64,
+    },
+    /// The answer, after a read of the register that began after the question: what is known there now.
+    Verified {
+        number: u64,
+        digest: Digest,
+    },
     /// Another line, deflated: where many entries go at once they are much alike.
     Packed(String),
 }
@@ -73,6 +85,7 @@
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
             Message::Ask { .. } | Message::Told { .. } => "register",
+            Message::Verify { .. } | Message::Verified { .. } => "readiness",
             Message::Packed(_) => "packed",
         }
     }
@@ -111,6 +124,21 @@
     pub fed: bool,
     /// How many times in a row its digest differed.
     pub differs: u32,
+    /// All that the other side knew has been taken in once, since its last answer to a question where it was asked.
+    pub compared: bool,
+    /// The other side has said that it is in contact with no majority of the members.
+    pub alone: bool,
+    /// The question whether the other side is in contact with a majority: its number, and when it was asked.
+    pub verifying: Option<(u64, Instant)>,
+    /// The version that was in force there when it had compared itself with a majority, after that question.
+    pub verified: Option<u64>,
+}
+
+impl Link {
+    /// Whether something was heard of late. After a standstill a connection may still be open that is long dead.
+    pub fn is_heard(&self) -> bool {
+        self.heard.elapsed() < SILENT
+    }
 }
 
 /// Counters of what was said.
@@ -255,7 +283,19 @@
     };
     let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
     let now = Instant::now();
-    let link = Link { peer, ours, since: now, lines, heard: now, fed: false, differs: 0 };
+    let link = Link {
+        peer,
+        ours,
+        since: now,
+        lines,
+        heard: now,
+        fed: false,
+        differs: 0,
+        compared: false,
+        alone: false,
+        verifying: None,
+        verified: None,
+    };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
     let reading = async {
@@ -312,12 +352,15 @@
 
 #[cfg(test)]
 mod tests {
+    use ashvane_gossip::{ServerRank, Silence, State};
+
     use super::*;
 
     #[test]
     fn long_lines_are_packed_and_read_as_they_were() {
+        let rank = |seq| ServerRank { state: State::Ready, seq, silence: Silence::Heard };
         let summary = Summary {
-            servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_gossip::State::Ready, n, false))).collect(),
+            servers: (0..100).map(|n| (format!("i-{n}"), rank(n))).collect(),
             ..Summary::default()
         };
         for (line, packed) in [(Message::Summary(summary), true), (Message::Feed(true), false)] {
