--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -172,10 +172,17 @@
         self.register.is_some()
     }
 
+    /// Whether what is known here, a configuration among it, is that of a control node in contact with a majority, or the
+    /// newest that could be had.
+    pub fn is_current(&self) -> bool {
+        (self.synced.get() || self.has_waited_for_a_majority()) && self.config.borrow().is_some()
+    }
+
     /// Whether clients' requests can be served here.
     pub fn is_ready(&self) -> bool {
-        let knows = (self.synced.get() || self.has_waited_for_a_majority()) && self.config.borrow().is_some();
-        knows && !self.leaving.get() && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
+        self.is_current()
+            && !self.leaving.get()
+            && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
     }
 
     pub fn leave(&self) {
--- /dev/null
+++ b/crates/node/tests/cut_off.rs
@@ -0,0 +1,261 @@
+//! A control node that is cut off from the others for twenty seconds, played with whole processes: what a gateway that
+//! starts beside it goes by, what it says of servers and processes that it can't hear, and whose claims count.
+
+mod simulation;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashvane_gossip::{Heartbeat, State};
+use ashvane_node::agent::{Agent, Put};
+use serde_json::Value;
+use simulation::{Machine, Simulation, configuration, ms, play};
+use tokio::time::{Instant, sleep};
+
+/// How long a control node is cut off.
+const CUT: Duration = ms(20_000);
+/// The users' `drain-ms` at the sites where it is shortest.
+const DRAIN: Duration = ms(3000);
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = ms(1000);
+const STEP: Duration = ms(50);
+
+async fn put(at: &Machine, version: u64) -> bool {
+    let text = configuration(version, 0);
+    let put = async move |agent: Rc<Agent>| agent.put(text.as_bytes()).await;
+    matches!(at.ask(PATIENCE, put).await, Some(Put::Held(held)) if held >= version)
+}
+
+async fn beat(at: &Machine, id: &str, state: State, seq: u64) -> bool {
+    let beat = Heartbeat {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: format!("10.1.0.{}:8080", id.len()),
+        zone: "z0".to_owned(),
+        capacity: 3,
+        state,
+        seq,
+    };
+    at.ask(PATIENCE, async move |agent| agent.beat(beat).await).await == Some(true)
+}
+
+fn version(at: &Machine) -> u64 {
+    at.agent().and_then(|agent| agent.config()).map_or(0, |config| config.version)
+}
+
+fn is_current(at: &Machine) -> bool {
+    at.agent().is_some_and(|agent| agent.is_current())
+}
+
+fn offers(at: &Machine, id: &str) -> bool {
+    at.agent().is_some_and(|agent| agent.offers_work_to(id))
+}
+
+/// What a process says of itself: the entries of one part that have this value under this key.
+fn entries(at: &Machine, part: &str, key: &str, is: &Value) -> usize {
+    let state = at.agent().map(|agent| agent.state()).unwrap_or_default();
+    state[part].as_array().map_or(0, |all| all.iter().filter(|entry| entry[key] == *is).count())
+}
+
+/// The term of the duty of hearing that a process knows, and whether it holds it.
+fn hearing(at: &Machine) -> (u64, bool) {
+    let state = at.agent().map(|agent| agent.state()).unwrap_or_default();
+    let duty = &state["duties"][1];
+    (duty["term"].as_u64().unwrap_or(0), duty["held here"] == true)
+}
+
+/// Five control nodes and three gateways with version 1 in force.
+async fn started() -> Rc<Simulation> {
+    let simulation = Simulation::new(5, 3, 1);
+    sleep(ms(2000)).await;
+    assert!(put(&simulation.all()[1], 1).await);
+    sleep(ms(5000)).await;
+    assert!(simulation.all()[5..].iter().all(|m| is_current(m) && version(m) == 1));
+    simulation
+}
+
+fn isolate(simulation: &Simulation, a: &Machine, b: &Machine) {
+    simulation.network.sever(&a.ip, &b.ip);
+    simulation.network.sever(&b.ip, &a.ip);
+}
+
+fn restart(simulation: &Simulation, machine: &Machine) {
+    machine.kill(&simulation.network);
+    machine.start(&simulation.network, false);
+}
+
+#[test]
+fn a_gateway_that_reaches_only_a_control_node_that_is_cut_off_is_not_ready_on_its_word() {
+    play(async {
+        let simulation = started().await;
+        let (alone, gateway) = (simulation.all()[0].clone(), simulation.all()[5].clone());
+        simulation.network.cut([alone.ip.clone(), gateway.ip.clone()]);
+        sleep(ms(1000)).await;
+        assert!(put(&simulation.all()[1], 2).await);
+        restart(&simulation, &gateway);
+        let began = Instant::now();
+        while began.elapsed() < CUT {
+            sleep(STEP).await;
+            assert!(!is_current(&gateway), "ready with {} after {:?}", version(&gateway), began.elapsed());
+        }
+        assert_eq!(version(&gateway), 1, "it has heard of the earlier one");
+        simulation.network.mend();
+        sleep(ms(4000)).await;
+        assert!(is_current(&gateway) && version(&gateway) == 2);
+    });
+}
+
+#[test]
+fn a_gateway_that_reaches_the_others_as_well_is_ready_at_once_on_theirs() {
+    play(async {
+        let simulation = started().await;
+        // The first one, a seed of all machines, is cut off from the other control nodes, and from nobody else.
+        let control_nodes = simulation.control_nodes();
+        control_nodes[1..].iter().for_each(|other| isolate(&simulation, &control_nodes[0], other));
+        // Long enough for the one that is cut off to have missed all others.
+        sleep(ms(8000)).await;
+        assert!(put(&simulation.all()[1], 2).await);
+        let gateway = simulation.all()[5].clone();
+        restart(&simulation, &gateway);
+        let began = Instant::now();
+        while !is_current(&gateway) {
+            sleep(STEP).await;
+            assert!(began.elapsed() < ms(2500), "no word from those that are in contact");
+        }
+        assert_eq!(version(&gateway), 2);
+    });
+}
+
+#[test]
+fn without_a_majority_for_long_a_gateway_stays_ready_and_a_new_one_goes_by_the_newest_known() {
+    play(async {
+        let simulation = started().await;
+        let all = simulation.all();
+        all[..3].iter().for_each(|control_node| control_node.kill(&simulation.network));
+        restart(&simulation, &all[5]);
+        let began = Instant::now();
+        while began.elapsed() < ms(29_000) {
+            sleep(STEP).await;
+            assert!(is_current(&all[6]), "what was ready stays so");
+            assert!(!is_current(&all[5]), "ready after {:?} without a majority", began.elapsed());
+        }
+        sleep(ms(2000)).await;
+        assert!(is_current(&all[5]) && version(&all[5]) == 1);
+    });
+}
+
+#[test]
+fn who_is_cut_off_calls_nobody_silent_or_down_and_acknowledges_no_drain() {
+    play(async {
+        let simulation = started().await;
+        let alone = simulation.all()[0].clone();
+        assert!(beat(&alone, "i-1", State::Ready, 1).await);
+        sleep(ms(2000)).await;
+        simulation.network.cut([alone.ip.clone()]);
+        let began = Instant::now();
+        assert!(!beat(&alone, "i-333", State::Draining, 1).await, "it can't know yet that it is alone");
+        let mut seq = 2;
+        while began.elapsed() < CUT {
+            // The server goes on beating where it is heard.
+            assert!(beat(&simulation.all()[1], "i-1", State::Ready, seq).await);
+            seq += 1;
+            sleep(ms(1000)).await;
+            assert_eq!(entries(&alone, "servers", "silent", &true.into()), 0, "{:?}", began.elapsed());
+            assert_eq!(entries(&alone, "nodes", "state", &"down".into()), 0, "{:?}", began.elapsed());
+            assert!(simulation.all()[1..].iter().all(|m| offers(m, "i-1")));
+            if began.elapsed() > ms(4000) {
+                let asked = Instant::now();
+                assert!(!beat(&alone, "i-22", State::Draining, seq).await);
+                assert!(asked.elapsed() < ms(50), "it knows that it is alone, and says so at once");
+            }
+        }
+        simulation.network.mend();
+        let healed = Instant::now();
+        while healed.elapsed() < ms(10_000) {
+            assert!(beat(&simulation.all()[1], "i-1", State::Ready, seq).await);
+            seq += 1;
+            sleep(ms(500)).await;
+            assert!(simulation.all()[1..].iter().all(|m| offers(m, "i-1")));
+        }
+    });
+}
+
+#[test]
+fn a_control_node_that_knows_no_membership_acknowledges_no_drain() {
+    play(async {
+        let simulation = started().await;
+        let wiped = simulation.all()[4].clone();
+        simulation.network.cut([wiped.ip.clone()]);
+        wiped.wipe();
+        restart(&simulation, &wiped);
+        sleep(ms(1000)).await;
+        assert!(!beat(&wiped, "i-1", State::Draining, 1).await);
+    });
+}
+
+#[test]
+fn the_duty_of_hearing_passes_on_and_its_earlier_holder_follows() {
+    play(async {
+        let simulation = started().await;
+        let all = simulation.all();
+        // A server and the control node that hears it are lost together.
+        assert!(beat(&all[3], "i-1", State::Ready, 1).await);
+        sleep(ms(1000)).await;
+        all[3].kill(&simulation.network);
+        sleep(ms(25_000)).await;
+        assert!(all[5..].iter().all(|m| !offers(m, "i-1")), "nobody says that it is silent");
+        let (term, held) = hearing(&all[0]);
+        assert!(held && term > 0, "the first one holds the duty");
+        all[3].start(&simulation.network, false);
+        sleep(ms(5000)).await;
+        // The holder is cut off; another server is lost with the control node that hears it.
+        assert!(beat(&all[2], "i-22", State::Ready, 1).await);
+        simulation.network.cut([all[0].ip.clone()]);
+        all[2].kill(&simulation.network);
+        let began = Instant::now();
+        while began.elapsed() < ms(28_000) {
+            sleep(STEP).await;
+            let holders = all[..5].iter().filter(|m| hearing(m) == (hearing(&all[1]).0, true)).count();
+            assert!(holders <= 1, "{holders} hold the duty under one term");
+        }
+        let (next, held) = hearing(&all[1]);
+        assert!(held && next > term, "{next} after {term}");
+        assert!(!hearing(&all[0]).1, "one that is cut off gives it up");
+        assert!(all[5..].iter().all(|m| !offers(m, "i-22")));
+        simulation.network.mend();
+        all[2].start(&simulation.network, false);
+        sleep(ms(8000)).await;
+        assert_eq!(hearing(&all[0]), (next, false), "the earlier holder follows");
+        let known: Vec<_> = all.iter().filter_map(|m| m.agent()).map(|agent| agent.digest()).collect();
+        assert!(known.iter().all(|digest| *digest == known[0]), "{known:?}");
+    });
+}
+
+#[test]
+fn a_drain_reaches_a_gateway_in_time_whose_feed_stands_still() {
+    play(async {
+        let simulation = started().await;
+        let all = simulation.all();
+        assert!(beat(&all[1], "i-1", State::Ready, 1).await);
+        sleep(ms(2000)).await;
+        let mut longest = Duration::ZERO;
+        for (n, still) in all[..5].iter().enumerate() {
+            let id = format!("i-{}", "1".repeat(n + 2));
+            let taker = if n == 1 { &all[2] } else { &all[1] };
+            assert!(beat(taker, &id, State::Ready, 1).await);
+            sleep(ms(4000)).await;
+            still.freeze(true);
+            assert!(beat(taker, &id, State::Draining, 2).await);
+            let acknowledged = Instant::now();
+            while all[5..].iter().any(|m| offers(m, &id)) {
+                sleep(STEP).await;
+                assert!(acknowledged.elapsed() < DRAIN, "{} stands still", still.name);
+            }
+            longest = longest.max(acknowledged.elapsed());
+            still.freeze(false);
+            sleep(ms(6000)).await;
+        }
+        assert!(longest > Duration::ZERO, "one of them feeds a gateway");
+        println!("longest from an acknowledged drain to the last gateway: {longest:?}");
+    });
+}
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -52,6 +52,8 @@
     far: RefCell<BTreeSet<String>>,
     /// Machines that nothing reaches, though what they say arrives.
     deaf: RefCell<BTreeSet<String>>,
+    /// Ways between two machines that carry nothing, by their addresses.
+    severed: RefCell<BTreeSet<(String, String)>>,
     /// Rises with each moment at which a machine's connections break.
     breaks: RefCell<BTreeMap<String, u32>>,
     pumps: RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>>,
@@ -66,7 +68,15 @@
     /// Whether what one machine says does not reach another.
     fn is_cut(&self, from: &str, to: &str) -> bool {
         let far = self.far.borrow();
-        far.contains(host(from)) != far.contains(host(to)) || self.deaf.borrow().contains(host(to))
+        let way = (host(from).to_owned(), host(to).to_owned());
+        far.contains(&way.0) != far.contains(&way.1)
+            || self.deaf.borrow().contains(&way.1)
+            || self.severed.borrow().contains(&way)
+    }
+
+    /// What one machine says no longer reaches another; the way back is left as it is.
+    pub fn sever(&self, from: &str, to: &str) {
+        self.severed.borrow_mut().insert((from.to_owned(), to.to_owned()));
     }
 
     pub fn deafen(&self, machine: &str) {
@@ -85,6 +95,7 @@
     pub fn mend(&self) {
         self.cut([]);
         self.deaf.borrow_mut().clear();
+        self.severed.borrow_mut().clear();
     }
 
     pub fn cut(&self, far: impl IntoIterator<Item = String>) {
