--- a/crates/gossip/src/directory.rs
+++ b/crates/gossip/src/directory.rs
@@ -16,6 +16,8 @@
 const ADOPTED_AFTER: Duration = Duration::from_secs(10);
 /// A tick this much later than the one before shows that this process stood still, and heard nobody.
 const STOOD_STILL: Duration = Duration::from_millis(1500);
+/// Time for which a gateway that is down counts among those that share a budget: it is longer than the window of any.
+const KEEPS_PART: Duration = Duration::from_secs(30);
 /// Time for which a server that ended is remembered, so that late updates cannot bring it back.
 const REMEMBERED: Duration = Duration::from_secs(600);
 
@@ -112,9 +114,11 @@
         self.changes
     }
 
-    /// Gatherers that take clients' requests and are not known to be down.
-    pub fn fronts(&self) -> usize {
-        self.nodes.values().filter(|n| n.front && !n.down).count()
+    /// Gateways that take clients' requests, those among them that were up of late: one that is down may be back before
+    /// others know, and uses its part of what all share.
+    pub fn fronts(&self, now: Duration) -> usize {
+        let counts = |n: &Node| self.down.get(&n.name).is_none_or(|at| *at + KEEPS_PART > now);
+        self.nodes.values().filter(|n| n.front && counts(n)).count()
     }
 
     fn node_hash(node: &Node) -> u64 {
--- a/crates/gossip/tests/updates.rs
+++ b/crates/gossip/tests/updates.rs
@@ -412,3 +412,15 @@
     directory.beat(beat("a", "x:1", State::Ready, 2), late);
     assert_eq!(silence(&directory), Silence::Heard);
 }
+
+/// Guards against a gateway that starts after many were lost at once and takes the parts of those that will be back.
+#[test]
+fn a_gateway_that_is_down_keeps_its_part_for_a_while() {
+    let mut other = Directory::new(node(0, 1), BEAT, Duration::ZERO);
+    (4..24).for_each(|n| drop(other.learn(Update::Node(node(n, n as u64)), Duration::ZERO)));
+    (4..16).for_each(|n| drop(other.node_lost(&format!("n{n}"), Duration::ZERO)));
+    // It learns of all of them at once, later.
+    let (late, mut new) = (BEAT * 20, Directory::new(node(4, 99), BEAT, BEAT * 20));
+    other.newer_than(&new.summary(u32::MAX)).into_iter().for_each(|update| drop(new.learn(update, late)));
+    assert_eq!((new.fronts(late), new.fronts(late + BEAT * 60)), (20, 9));
+}
--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -33,7 +33,7 @@
         let Some(plane) = &self.plane else { return };
         let directory = self.directory.borrow();
         plane.servers_changed(&directory, updates);
-        plane.gatherers_are(directory.fronts());
+        plane.gatherers_are(directory.fronts(self.now()));
     }
 
     pub(super) fn learn(&self, updates: Vec<Update>, from: Option<u64>) {
