--- a/crates/gossip/src/directory.rs
+++ b/crates/gossip/src/directory.rs
@@ -364,6 +364,9 @@
         let kept = |at: &Duration| *at + REMEMBERED > now;
         let forgotten: BTreeSet<_> =
             self.ended.iter().filter(|(_, at)| !kept(at)).map(|(id, _)| id.clone()).collect();
+        if forgotten.is_empty() {
+            return;
+        }
         self.ended.retain(|_, at| kept(at));
         self.servers.retain(|id, _| !forgotten.contains(id));
     }
@@ -377,10 +380,10 @@
             self.heard.values_mut().for_each(|(at, _)| *at = now);
         }
         self.forget_ended(now);
-        self.look_at_unknown(now);
         if *authority == Authority::None {
             return Vec::new();
         }
+        self.look_at_unknown(now);
         let silent_after = self.beat_every * MISSED;
         let mut silent = Vec::new();
         for s in self.servers.values().filter(|s| s.state < State::Gone && !s.is_silent()) {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -83,6 +83,8 @@
     left: Cell<bool>,
     /// Whether a control node in contact with a majority has told all that it knows, once in this life.
     synced: Cell<bool>,
+    /// How long it has waited for that.
+    waited: Cell<Duration>,
     /// Gateways that wait to hear that this control node is in contact with a majority, by link.
     verifications: RefCell<BTreeMap<u64, u64>>,
     answering: Cell<bool>,
@@ -144,6 +146,7 @@
             hinted: Cell::new((started, 0)),
             left: Cell::new(false),
             synced: Cell::new(alone),
+            waited: Cell::new(Duration::ZERO),
             verifications,
             answering,
             holding,
@@ -202,6 +205,7 @@
         let told = self.directory.borrow_mut().tick(&authority, self.now());
         self.spread(told, None);
         self.look_at_verifications();
+        self.look_at_wait();
         self.look_at_register();
         self.look_at_members();
         self.look_at_hints();
--- a/crates/node/src/agent/contact.rs
+++ b/crates/node/src/agent/contact.rs
@@ -12,7 +12,8 @@
 /// Time for which a gateway that starts waits for one control node before it calls all others.
 const VERIFIED_SOON: Duration = Duration::from_millis(1500);
 /// Time after which a gateway that starts goes by the newest that it has heard, if no control node has found a majority:
-/// longer than any cut of a single machine has to be borne, and than a core takes that starts whole.
+/// longer than a cut of a single machine has to be borne, and than a core takes that starts whole. Counted in ticks, so
+/// that a standstill is no wait.
 const UNVERIFIED_MOST: Duration = Duration::from_secs(30);
 
 impl Agent {
@@ -138,8 +139,22 @@
         }
     }
 
-    /// Whether this process has waited long enough for a control node with a majority: there may be none for long.
+    /// Counts the time for which a gateway waits for a control node with a majority.
+    pub(super) fn look_at_wait(&self) {
+        if self.synced.get() || self.has_waited_for_a_majority() {
+            return;
+        }
+        self.waited.set(self.waited.get() + TICK);
+        if self.has_waited_for_a_majority() {
+            warn!(
+                self.log,
+                "no control node has found a majority: the newest that is known is used from here on"
+            );
+        }
+    }
+
+    /// Whether it has waited long enough: there may be none for long.
     pub(super) fn has_waited_for_a_majority(&self) -> bool {
-        self.started.elapsed() >= UNVERIFIED_MOST
+        self.waited.get() >= UNVERIFIED_MOST
     }
 }
