The duty over the membership goes by each member's own word

Cause: the next change of the membership was proposed as soon as a majority was linked, whether or not its members held the state of the last one; a process told to end left no word, and 10 s passed until its place was dropped. Change: control nodes say of their own disks what is synced there and whether they leave, over their own connections. The holder of the duty proposes only once a majority, and each member in sight, has said that it holds the epoch; the times follow from catch-up-s and the fault budget; a leaving member goes where another waits or where one member less bears as many losses, and ends once a majority of the others holds what it holds. A member that is behind reads the register by itself. The end of a process is one type that the program and the simulation share.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Digest, Directory, Heartbeat, Node, Server, State, Update, peers};
-use ashvane_quorum::{Ask, Member, Membership, Outcome, StoredConfig, Watch, duty};
+use ashvane_quorum::duty::{self, DiskReport, Limits, LiveDisk, View};
+use ashvane_quorum::{Ask, Member, Membership, Outcome, StoredConfig, Watch};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -72,6 +73,8 @@
     /// Those that were linked, and since when they are not.
     lost: RefCell<BTreeMap<String, Option<Instant>>>,
     watch: RefCell<Watch>,
+    /// What the other control nodes were told last of this process's disk.
+    reported: Cell<DiskReport>,
     wanted: Cell<Option<(u64, Instant)>>,
     /// Another than the one that feeds this gatherer has named a newer configuration first.
     foretold: Cell<bool>,
@@ -111,7 +114,8 @@
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (stored, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
+        let (stored, config, confirms, dialled, unreached, lost, links) = Default::default();
+        let limits = Limits { catch_up: settings.catch_up, losses: settings.losses };
         let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
@@ -130,7 +134,8 @@
             dialled,
             unreached,
             lost,
-            watch,
+            watch: RefCell::new(Watch::new(limits)),
+            reported: Cell::default(),
             wanted: Cell::new(None),
             foretold: Cell::new(false),
             feed: Cell::new(None),
@@ -168,9 +173,11 @@
         knows && !self.leaving.get() && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
     }
 
+    /// This process was told to end: it is not ready any more, and the other control nodes know.
     pub fn leave(&self) {
         if !self.leaving.replace(true) {
             info!(self.log, "leaving");
+            self.report_disk();
         }
     }
 
@@ -184,6 +191,8 @@
         let told = self.directory.borrow_mut().tick(first, self.now());
         self.spread(told, None);
         self.look_at_register();
+        self.report_disk();
+        self.catch_up();
         self.look_at_members();
         self.look_at_hints();
         let now = Instant::now();
--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -18,6 +18,7 @@
                 let (agent, own) = (self.clone(), register.ask_own(&ask));
                 tokio::task::spawn_local(async move {
                     if let Some(told) = own.await {
+                        agent.report_disk();
                         agent.told(number, told);
                     }
                 });
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -143,6 +143,7 @@
         self.learn(vec![Update::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
         if let Some(register) = self.register.as_ref().filter(|_| control_node) {
+            self.links.borrow_mut().send(number, &Message::Disk(self.disk_report(register)));
             self.ask(register.look(true));
         }
     }
@@ -202,10 +203,16 @@
                 let (agent, own) = (self.clone(), register.ask_own(&ask));
                 tokio::task::spawn_local(async move {
                     if let Some(told) = own.await {
+                        agent.report_disk();
                         agent.links.borrow_mut().send(number, &Message::Told { number: asked, told });
                     }
                 });
             }
+            Message::Disk(report) => {
+                if let Some(link) = self.links.borrow_mut().get_mut(number) {
+                    link.disk = Some(report);
+                }
+            }
             Message::Told { number: asked, told } => self.told(asked, told),
         }
     }
--- a/crates/node/src/agent/membership.rs
+++ b/crates/node/src/agent/membership.rs
@@ -1,4 +1,4 @@
-//! Duties done by one process for all: hearing for servers whose control node is down, and the set of disks.
+//! Duties done by one process for all: hearing for servers whose control node is down, and the membership.
 
 use super::*;
 
@@ -19,27 +19,55 @@
             && control_nodes.iter().filter(seated).count() >= directory.membership().majority()
     }
 
-    /// The disks that live, as seen from here.
-    pub(super) fn live_members(&self) -> Vec<Member> {
-        let member = |n: &Node| Some(Member { disk: n.disk.clone()?, address: n.address.clone() });
-        self.directory.borrow().nodes().filter(|n| self.lives(n)).filter_map(member).collect()
+    /// What this process says of its own disk.
+    pub(super) fn disk_report(&self, register: &Register) -> DiskReport {
+        DiskReport { held: register.held(), leaving: self.leaving.get() }
     }
 
-    /// Sees to it that the membership are those of disks that live, where that is this process's duty.
+    /// Tells the other control nodes what this disk holds, where that has changed.
+    pub(super) fn report_disk(&self) {
+        let Some(register) = &self.register else { return };
+        let report = self.disk_report(register);
+        if self.reported.replace(report) == report {
+            return;
+        }
+        let mut links = self.links.borrow_mut();
+        let control_nodes: Vec<u64> =
+            links.iter().filter(|(_, l)| l.peer.disk.is_some()).map(|(number, _)| number).collect();
+        links.send_all(&control_nodes, &Message::Disk(report));
+    }
+
+    /// The disks in sight: this process's own, and those of the processes that have been heard of just now, each
+    /// with what its process says of it over its own connection.
+    pub(super) fn live_disks(&self) -> Vec<LiveDisk> {
+        let live = |node: &Node, report: Option<DiskReport>| {
+            let member = Member { disk: node.disk.clone()?, address: node.address.clone() };
+            Some((member.disk.clone(), LiveDisk { member, report }))
+        };
+        let (directory, links) = (self.directory.borrow(), self.links.borrow());
+        let heard = links.iter().filter(|(_, l)| l.heard.elapsed() < duty::FRESH);
+        let mut disks: BTreeMap<_, LiveDisk> = heard.filter_map(|(_, l)| live(&l.peer, l.disk)).collect();
+        let own = self.register.as_ref().map(|register| self.disk_report(register));
+        disks.extend(live(directory.me(), own));
+        disks.into_values().collect()
+    }
+
+    /// Sees to it that the members are disks that live, where that is this process's duty.
     pub(super) fn look_at_members(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        let (now, directory) = (self.now(), self.directory.borrow());
-        let live = self.live_members();
-        let mut watch = self.watch.borrow_mut();
-        watch.look(now, directory.membership(), &live);
-        let me = directory.me().disk.clone().unwrap_or_default();
-        let next = watch.next(now, &me, directory.membership(), &live).filter(|_| !self.changing.get());
+        let (now, live) = (self.now(), self.live_disks());
+        let membership = self.directory.borrow().membership().clone();
+        let view = View { membership: &membership, live: &live };
+        let me = self.directory.borrow().me().disk.clone().unwrap_or_default();
+        let next = {
+            let mut watch = self.watch.borrow_mut();
+            watch.look(now, view);
+            watch.next(now, &me, view).filter(|_| !self.changing.get())
+        };
         let Some(next) = next else { return };
-        info!(self.log, "the set of disks is to change"; "epoch" => directory.membership().epoch + 1,
+        info!(self.log, "the set of disks is to change"; "epoch" => membership.epoch + 1,
             "disks" => next.iter().map(|s| &*s.disk).collect::<Vec<_>>().join(" "));
-        drop((directory, watch));
         self.changing.set(true);
-        let membership = self.directory.borrow().membership().clone();
         let (asks, outcome) = register.change(membership, next);
         self.ask(asks);
         let agent = self.clone();
@@ -52,9 +80,36 @@
         });
     }
 
+    /// Brings this process's own disk into the newest epoch that names it, whether or not anybody writes.
+    pub(super) fn catch_up(self: &Rc<Self>) {
+        let Some(register) = &self.register else { return };
+        let behind = {
+            let directory = self.directory.borrow();
+            let membership = directory.membership();
+            let mine = directory.me().disk.as_ref().is_some_and(|disk| membership.has(disk));
+            mine && register.held().epoch < membership.epoch
+        };
+        if behind && !self.reading.replace(true) {
+            let agent = self.clone();
+            tokio::task::spawn_local(async move {
+                agent.newest().await;
+                agent.reading.set(false);
+            });
+        }
+    }
+
+    /// Whether this process, told to end, leaves nothing undone in the membership.
+    pub fn may_end(&self) -> bool {
+        let Some(register) = &self.register else { return true };
+        let (directory, live) = (self.directory.borrow(), self.live_disks());
+        let me = directory.me().disk.clone().unwrap_or_default();
+        let view = View { membership: directory.membership(), live: &live };
+        duty::may_end(&me, register.held(), view, self.watch.borrow().limits())
+    }
+
     pub(super) fn has_seats_duty(&self) -> bool {
-        let directory = self.directory.borrow();
-        let holder = duty::holder(directory.membership(), &self.live_members());
-        holder.is_some_and(|s| Some(&s.disk) == directory.me().disk.as_ref())
+        let (directory, live) = (self.directory.borrow(), self.live_disks());
+        let view = View { membership: directory.membership(), live: &live };
+        view.holder().is_some_and(|m| Some(&m.disk) == directory.me().disk.as_ref())
     }
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Buckets, Digest, Node, Summary, Update};
+use ashvane_quorum::duty::DiskReport;
 use ashvane_quorum::{Ask, StoredConfig, Told};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
@@ -59,6 +60,8 @@
         number: u64,
         told: Told,
     },
+    /// What a control node says of its own disk to the others: at first and whenever it changes.
+    Disk(DiskReport),
     /// Another line, deflated: where many entries go at once they are much alike.
     Packed(String),
 }
@@ -72,7 +75,7 @@
             Message::Digest(_) => "digests",
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
-            Message::Ask { .. } | Message::Told { .. } => "register",
+            Message::Ask { .. } | Message::Told { .. } | Message::Disk(_) => "register",
             Message::Packed(_) => "packed",
         }
     }
@@ -111,6 +114,8 @@
     pub fed: bool,
     /// How many times in a row its digest differed.
     pub differs: u32,
+    /// What the process at the other end has said of its disk.
+    pub disk: Option<DiskReport>,
 }
 
 /// Counters of what was said.
@@ -255,7 +260,7 @@
     };
     let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
     let now = Instant::now();
-    let link = Link { peer, ours, since: now, lines, heard: now, fed: false, differs: 0 };
+    let link = Link { peer, ours, since: now, lines, heard: now, fed: false, differs: 0, disk: None };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
     let reading = async {
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -160,6 +160,34 @@
     }
 }
 
+/// The end of a process that was told to end: first it is not ready any more, then clients are sent elsewhere, and it
+/// ends once the last one has its answer and its disk has left the membership, or is not missed there.
+#[derive(Default)]
+pub struct Departure {
+    since: Option<Instant>,
+    closed: bool,
+}
+
+impl Departure {
+    /// It was told to end.
+    pub fn begin(&mut self) {
+        self.since.get_or_insert_with(Instant::now);
+    }
+
+    /// Goes on with it; whether the process ends now.
+    pub fn is_over(&mut self, agent: &Agent, door: &Door) -> bool {
+        let Some(since) = self.since else { return false };
+        agent.leave();
+        let turned_away = agent.settings.front.is_none() || since.elapsed() >= TURN_AWAY;
+        if turned_away && !self.closed {
+            self.closed = true;
+            door.close();
+        }
+        let late = since.elapsed() + GRACE_KEPT >= agent.settings.grace;
+        self.closed && (late || (door.open() == 0 && agent.may_end()))
+    }
+}
+
 /// One process, from its listeners to its end. Has to run in a set of local tasks.
 pub async fn serve(
     role: Role, settings: Settings, file: Option<&str>, log: Logger,
@@ -222,13 +250,12 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut counted = Instant::now();
-    let mut leaving: Option<Instant> = None;
-    let mut closed = false;
+    let mut departure = Departure::default();
     loop {
         tokio::select! {
             _ = ticks.tick() => agent.tick(),
-            _ = end.recv() => drop(leaving.get_or_insert_with(Instant::now)),
-            _ = interrupt.recv() => drop(leaving.get_or_insert_with(Instant::now)),
+            _ = end.recv() => departure.begin(),
+            _ = interrupt.recv() => departure.begin(),
             _ = hangup.recv() => reload(&agent, file, &log),
         }
         if counted.elapsed() >= COUNT {
@@ -237,15 +264,7 @@
             // It may change without a signal.
             reload(&agent, file, &log);
         }
-        let Some(since) = leaving else { continue };
-        agent.leave();
-        let turned_away = settings.front.is_none() || since.elapsed() >= TURN_AWAY;
-        if turned_away && !closed {
-            closed = true;
-            door.close();
-        }
-        let over = since.elapsed() + GRACE_KEPT >= settings.grace;
-        if closed && (door.open() == 0 || over) {
+        if departure.is_over(&agent, &door) {
             agent.count();
             info!(log, "ended"; "open" => door.open(), "busy" => door.busy());
             return Ok(());
--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -1,11 +1,12 @@
 //! The register's two sides in one process: its own disk's replica, and the operations that run from here.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashvane_quorum::duty::Held;
 use ashvane_quorum::{Ask, Member, Membership, Operation, Outcome, Replica, StoredConfig, Told};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -31,16 +32,23 @@
     name: Arc<str>,
     replica: RefCell<Replica>,
     disk: Disk,
+    /// What is synced there.
+    held: Cell<Held>,
     operations: RefCell<BTreeMap<u64, Running>>,
     asks: RefCell<BTreeMap<u64, (u64, Ask)>>,
     next: RefCell<u64>,
 }
 
+fn held(replica: &Replica) -> Held {
+    Held { epoch: replica.kept().membership.epoch, version: replica.stored().map_or(0, |f| f.version) }
+}
+
 impl Register {
     pub fn new(replica: Replica, disk: Disk, life: u64) -> Self {
         let name = format!("{}/{life:x}", replica.kept().disk).into();
         let (operations, asks, next) = Default::default();
-        Register { name, replica: RefCell::new(replica), disk, operations, asks, next }
+        let held = Cell::new(held(&replica));
+        Register { name, replica: RefCell::new(replica), disk, held, operations, asks, next }
     }
 
     pub fn stored(&self) -> Option<StoredConfig> {
@@ -51,6 +59,11 @@
         self.replica.borrow().kept().membership.clone()
     }
 
+    /// What this process's own disk holds for certain.
+    pub fn held(&self) -> Held {
+        self.held.get()
+    }
+
     pub fn disk(&self) -> &Disk {
         &self.disk
     }
@@ -62,7 +75,12 @@
         let kept = changed.kept.then(|| replica.kept());
         let stored = replica.stored().filter(|_| changed.stored);
         let safe = self.disk.keep(kept, stored);
-        async move { safe.await.ok().map(|()| told) }
+        let (held, register) = (held(&replica), self.clone());
+        async move {
+            safe.await.ok()?;
+            register.held.set(register.held.get().max(held));
+            Some(told)
+        }
     }
 
     fn number(&self) -> u64 {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -25,6 +25,8 @@
     pub max_fds: usize,
     pub memory_mb: u64,
     pub losses: usize,
+    /// The next loss may come this long after a lost machine is back.
+    pub catch_up: Duration,
     pub grace: Duration,
     pub retry_ratio: f64,
     pub retry_window: Duration,
@@ -78,6 +80,7 @@
             max_fds: limits.get("max-fds").or(1024, At::whole) as usize,
             memory_mb: limits.get("memory-mb").or(256, At::whole),
             losses: at.get("fault-budget").get("machine-losses").or(1, At::whole) as usize,
+            catch_up: Duration::from_secs_f64(bounds.get("catch-up-s").or(4.0, At::number).clamp(0.0, 600.0)),
             grace: Duration::from_secs_f64(bounds.get("grace-s").or(6.0, At::number).clamp(0.0, 600.0)),
             retry_ratio: bounds.get("retry-ratio").or(0.1, At::number),
             retry_window: Duration::from_secs_f64(
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -1,6 +1,9 @@
 //! A simulation of machines: whole processes of the system, each with its register, directory, links and duties as in service,
 //! on a network and on disks that are played. Time is tokio's own, paused: it goes on where all wait.
 
+// Each test takes what it needs.
+#![allow(dead_code)]
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::pin::Pin;
@@ -10,13 +13,14 @@
 
 use ashvane_node::agent::{Agent, TICK};
 use ashvane_node::disk::{Disk, Whole};
+use ashvane_node::front::Door;
 use ashvane_node::links::{self, Dialled, Net, Ways};
-use ashvane_node::program::{node, replica};
+use ashvane_node::program::{Departure, node, replica};
 use ashvane_node::register::Register;
 use ashvane_node::settings::Settings;
 use slog::{Discard, Drain, KV as _, Logger, OwnedKVList, Record, o};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, interval, sleep, timeout};
 
@@ -28,6 +32,8 @@
 const WAY: Duration = ms(4);
 /// What a sync takes.
 const SYNC: Duration = ms(5);
+/// Time between a process being told to end and its end by force.
+pub const GRACE: Duration = ms(6000);
 /// Bytes that wait in a connection.
 const WINDOW: usize = 64 << 10;
 
@@ -52,6 +58,8 @@
     far: RefCell<BTreeSet<String>>,
     /// Machines that nothing reaches, though what they say arrives.
     deaf: RefCell<BTreeSet<String>>,
+    /// Pairs of machines that don't reach each other.
+    apart: RefCell<BTreeSet<(String, String)>>,
     /// Rises with each moment at which a machine's connections break.
     breaks: RefCell<BTreeMap<String, u32>>,
     pumps: RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>>,
@@ -66,7 +74,16 @@
     /// Whether what one machine says does not reach another.
     fn is_cut(&self, from: &str, to: &str) -> bool {
         let far = self.far.borrow();
-        far.contains(host(from)) != far.contains(host(to)) || self.deaf.borrow().contains(host(to))
+        let pair = |a: &str, b: &str| (host(a).to_owned(), host(b).to_owned());
+        let apart = self.apart.borrow();
+        far.contains(host(from)) != far.contains(host(to))
+            || self.deaf.borrow().contains(host(to))
+            || apart.contains(&pair(from, to))
+            || apart.contains(&pair(to, from))
+    }
+
+    pub fn part(&self, a: &str, b: &str) {
+        self.apart.borrow_mut().insert((a.to_owned(), b.to_owned()));
     }
 
     pub fn deafen(&self, machine: &str) {
@@ -85,6 +102,7 @@
     pub fn mend(&self) {
         self.cut([]);
         self.deaf.borrow_mut().clear();
+        self.apart.borrow_mut().clear();
     }
 
     pub fn cut(&self, far: impl IntoIterator<Item = String>) {
@@ -147,9 +165,10 @@
     pub sync: Rc<Cell<Duration>>,
 }
 
-/// A process and all of its tasks: it can be frozen, and is gone whole when it is dropped.
+/// A process and all of its tasks: it can be frozen, and is gone whole when it is dropped or has ended.
 struct Body {
     tasks: LocalSet,
+    ended: Rc<Cell<bool>>,
     frozen: Rc<Cell<bool>>,
     waker: Rc<RefCell<Option<Waker>>>,
 }
@@ -159,7 +178,11 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         *self.waker.borrow_mut() = Some(cx.waker().clone());
-        if self.frozen.get() { Poll::Pending } else { Pin::new(&mut self.tasks).poll(cx) }
+        if self.frozen.get() {
+            return Poll::Pending;
+        }
+        let all_done = Pin::new(&mut self.tasks).poll(cx);
+        if self.ended.get() { Poll::Ready(()) } else { all_done }
     }
 }
 
@@ -178,6 +201,9 @@
     /// Taken away for good.
     pub gone: Cell<bool>,
     body: RefCell<Option<JoinHandle<()>>>,
+    /// Told to end.
+    terminated: RefCell<Rc<Notify>>,
+    ended: Rc<Cell<bool>>,
     frozen: Rc<Cell<bool>>,
     waker: Rc<RefCell<Option<Waker>>>,
     agent: Rc<RefCell<Option<Rc<Agent>>>>,
@@ -218,6 +244,19 @@
         network.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
     }
 
+    /// The process is told to end, and ended if it takes longer than the platform waits. How long it took; none if it
+    /// was ended.
+    pub async fn terminate(&self, network: &Network) -> Option<Duration> {
+        let told = Instant::now();
+        self.terminated.borrow().notify_one();
+        while !self.ended.get() && told.elapsed() < GRACE {
+            sleep(ms(10)).await;
+        }
+        let took = self.ended.get().then(|| told.elapsed());
+        self.kill(network);
+        took
+    }
+
     /// What the process says to this, unless it takes longer than its caller waits.
     pub async fn ask<T: 'static, F: Future<Output = T> + 'static>(
         &self, patience: Duration, job: impl FnOnce(Rc<Agent>) -> F + 'static,
@@ -257,15 +296,17 @@
         let settings = Settings::parse(&text, "-").expect("settings");
         let tasks = LocalSet::new();
         let life = (u64::from(self.life.get()) << 32) | u64::from(fastrand::u32(..));
-        tasks.spawn_local(process(
-            settings,
-            life,
-            self.storage.clone(),
-            network.clone(),
-            self.agent.clone(),
-            todo,
-        ));
-        let body = Body { tasks, frozen: self.frozen.clone(), waker: self.waker.clone() };
+        self.ended.set(false);
+        let (agent, terminated, ended) = (self.agent.clone(), Rc::new(Notify::new()), self.ended.clone());
+        *self.terminated.borrow_mut() = terminated.clone();
+        let orders = Orders { todo, terminated };
+        let running = process(settings, life, self.storage.clone(), network.clone(), agent, orders);
+        tasks.spawn_local(async move {
+            running.await;
+            ended.set(true);
+        });
+        let ended = self.ended.clone();
+        let body = Body { tasks, ended, frozen: self.frozen.clone(), waker: self.waker.clone() };
         *self.body.borrow_mut() = Some(spawn_local(body));
         *self.jobs.borrow_mut() = Some(jobs);
     }
@@ -308,10 +349,16 @@
     }
 }
 
+/// What a process is told from outside.
+struct Orders {
+    todo: mpsc::UnboundedReceiver<Job>,
+    terminated: Rc<Notify>,
+}
+
 /// As `program::serve` has it, but for the sockets that face the outside.
 async fn process(
     settings: Settings, life: u64, storage: Option<Storage>, network: Rc<Network>,
-    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut todo: mpsc::UnboundedReceiver<Job>,
+    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut orders: Orders,
 ) {
     let log = match is_aloud() {
         true => Logger::root(Aloud.fuse(), o!("at" => settings.node.clone())),
@@ -350,13 +397,18 @@
     *slot.borrow_mut() = Some(agent.clone());
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut departure, door) = (Departure::default(), Door::default());
     loop {
         tokio::select! {
             _ = ticks.tick() => agent.tick(),
             Some((read, write)) = callers.recv() => {
                 spawn_local(links::run(read, write, false, agent.clone()));
             }
-            Some(job) = todo.recv() => job(agent.clone()),
+            Some(job) = orders.todo.recv() => job(agent.clone()),
+            () = orders.terminated.notified() => departure.begin(),
+        }
+        if departure.is_over(&agent, &door) {
+            return;
         }
     }
 }
--- a/crates/quorum/src/duty.rs
+++ b/crates/quorum/src/duty.rs
@@ -1,129 +1,226 @@
-//! The duty of the first live one with a member: the set of disks is that of disks that live.
+//! The duty over the membership: that the disks which vote are disks that live. One process does it at a time, under
+//! the epoch that its change ends; two that both take it for theirs are kept apart by the ballots.
+//!
+//! What the holder goes by is what each process has said of its own disk ([`DiskReport`]), over a connection that is
+//! alive now. Nothing here reads a clock or a socket.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{DiskId, Member, Membership};
 
-/// A disk that is gone for this long gives its place to one that waits for a place: longer than a restart, much
-/// shorter than the time after which the next loss has to be borne.
-const GIVEN_UP: Duration = Duration::from_millis(2500);
-/// Time after which it loses its place where none waits, if the number of membership is even: one less then takes as
-/// many losses.
-const DROPPED: Duration = Duration::from_secs(10);
+/// What a change of the membership takes at worst: the silence after which a process counts as out of sight
+/// ([`FRESH`]), a look at the duties, and the rounds of the change itself.
+const CHANGE_TAKES: Duration = Duration::from_millis(2500);
+/// The shortest absence after which a member is given up: a process that is restarted is back sooner.
+const GIVEN_UP_LEAST: Duration = Duration::from_millis(1000);
+/// A process that was heard of within this time is in sight: digests are compared each second.
+pub const FRESH: Duration = Duration::from_millis(1400);
+
+/// What a replica holds on its own disk. Of two, the greater one has all that was chosen in the lesser one: an epoch
+/// begins with what the one before it chose, and within an epoch versions only rise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Held {
+    /// The epoch whose state it holds.
+    pub epoch: u64,
+    /// The version of the configuration that it has accepted there, 0 before the first one.
+    pub version: u64,
+}
+
+/// What a process says of its own disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct DiskReport {
+    /// What is synced there.
+    pub held: Held,
+    /// Whether the process was told to end.
+    pub leaving: bool,
+}
+
+/// A disk whose process is in sight, and what that process has said of it, if it has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LiveDisk {
+    /// The disk and where its process is reached.
+    pub member: Member,
+    /// None: its process has not said anything of it yet.
+    pub report: Option<DiskReport>,
+}
+
+impl LiveDisk {
+    fn is_leaving(&self) -> bool {
+        self.report.is_some_and(|report| report.leaving)
+    }
+}
+
+/// The membership as it is known, and the disks that are in sight.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The newest membership that is known.
+    pub membership: &'a Membership,
+    /// Each disk once.
+    pub live: &'a [LiveDisk],
+}
+
+impl<'a> View<'a> {
+    fn live(&self, disk: &str) -> Option<&'a LiveDisk> {
+        self.live.iter().find(|live| &*live.member.disk == disk)
+    }
+
+    /// Members that are in sight.
+    fn sighted(&self) -> impl Iterator<Item = &'a LiveDisk> {
+        self.live.iter().filter(|live| self.membership.has(&live.member.disk))
+    }
+
+    /// Whether a process has said that its disk holds the state of the epoch that is known here.
+    fn holds_epoch(&self, live: &LiveDisk) -> bool {
+        live.report.is_some_and(|report| report.held.epoch >= self.membership.epoch)
+    }
+
+    /// Whose duty it is: the first member in sight that does not leave.
+    pub fn holder(&self) -> Option<&'a Member> {
+        let stays = |m: &&Member| self.live(&m.disk).is_some_and(|live| !live.is_leaving());
+        self.membership.members.iter().find(stays)
+    }
+
+    /// A disk that could take a member's place.
+    fn waiting(&self) -> Option<&'a Member> {
+        let waits = |live: &&LiveDisk| !self.membership.has(&live.member.disk) && !live.is_leaving();
+        self.live.iter().find(waits).map(|live| &live.member)
+    }
+
+    /// Another disk is at a member's address: its own was wiped.
+    fn is_renewed(&self, member: &Member) -> bool {
+        self.live.iter().any(|l| l.member.address == member.address && l.member.disk != member.disk)
+    }
+}
+
+/// What the settings bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The next loss may come this long after a lost machine is back, or after its successor has started.
+    pub catch_up: Duration,
+    /// How many members may be lost at once.
+    pub losses: usize,
+}
+
+impl Limits {
+    /// Time out of sight after which a member's place is given up: as long as there is time to put another disk in
+    /// its place before the next loss may come.
+    pub fn given_up(&self) -> Duration {
+        self.catch_up.saturating_sub(CHANGE_TAKES).max(GIVEN_UP_LEAST)
+    }
 
-/// Whose duty it is: the first member whose disk lives.
-pub fn holder<'a>(membership: &'a Membership, live: &[Member]) -> Option<&'a Member> {
-    membership.members.iter().find(|s| live.iter().any(|l| l.disk == s.disk))
+    /// Whether a membership without one of its members bears as many losses as the one with it, and as many as it
+    /// has to: then that member is one vote more to wait for and nothing else.
+    fn has_one_too_many(&self, membership: &Membership) -> bool {
+        let many = membership.members.len();
+        many.is_multiple_of(2) && many > 2 * self.losses + 1
+    }
 }
 
-/// Which membership' disks are out of sight, and since when.
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { catch_up: Duration::from_secs(4), losses: 1 }
+    }
+}
+
+/// Since when members are out of sight, or in sight and behind.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
+    limits: Limits,
     lost: BTreeMap<DiskId, Duration>,
+    behind: BTreeMap<DiskId, Duration>,
 }
 
 impl Watch {
-    /// Looks at which disks live now, each at its address.
-    pub fn look(&mut self, now: Duration, membership: &Membership, live: &[Member]) {
-        let lives = |disk: &str| live.iter().any(|l| &*l.disk == disk);
-        self.lost.retain(|disk, _| membership.has(disk) && !lives(disk));
-        for member in membership.members.iter().filter(|s| !lives(&s.disk)) {
-            self.lost.entry(member.disk.clone()).or_insert(now);
-        }
+    /// A watch that has seen nothing yet.
+    pub fn new(limits: Limits) -> Self {
+        Watch { limits, ..Watch::default() }
     }
 
-    /// The membership that there should be next, for the one whose disk this is; none if all is well, if the duty is
-    /// another's, or if no majority is in sight to decide it.
-    pub fn next(
-        &self, now: Duration, me: &str, membership: &Membership, live: &[Member],
-    ) -> Option<Vec<Member>> {
-        let lives = |disk: &str| live.iter().any(|l| &*l.disk == disk);
-        let sighted = membership.members.iter().filter(|s| lives(&s.disk)).count();
-        if sighted < membership.majority() || holder(membership, live).is_none_or(|s| &*s.disk != me) {
-            return None;
-        }
-        // Another disk at its address: it was wiped, or replaced.
-        let renewed = |s: &Member| live.iter().any(|l| l.address == s.address && l.disk != s.disk);
-        let gone_for =
-            |s: &Member, least: Duration| self.lost.get(&s.disk).is_some_and(|at| *at + least <= now);
-        let lost = |least: Duration| {
-            membership.members.iter().find(|s| !lives(&s.disk) && (renewed(s) || gone_for(s, least)))
+    /// The bounds that it goes by.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Looks at which disks are in sight now.
+    pub fn look(&mut self, now: Duration, view: View) {
+        let note = |since: &mut BTreeMap<DiskId, Duration>, noted: &dyn Fn(&Member) -> bool| {
+            since.retain(|disk, _| view.membership.members.iter().any(|m| m.disk == *disk && noted(m)));
+            for member in view.membership.members.iter().filter(|m| noted(m)) {
+                since.entry(member.disk.clone()).or_insert(now);
+            }
         };
-        let without = |gone: Option<&Member>| {
-            membership.members.iter().filter(|s| Some(*s) != gone).cloned().collect::<Vec<_>>()
+        note(&mut self.lost, &|m| view.live(&m.disk).is_none());
+        note(&mut self.behind, &|m| view.live(&m.disk).is_some_and(|live| !view.holds_epoch(live)));
+    }
+
+    /// Whether the last change is settled: a majority of the members, and each one that is in sight, has said that
+    /// its disk holds the state of the epoch. A member that is in sight and does not get there within `catch-up-s`
+    /// counts as lost for this: it must not keep the others from being replaced.
+    pub fn is_settled(&self, now: Duration, view: View) -> bool {
+        let holding = view.sighted().filter(|live| view.holds_epoch(live)).count();
+        let patient = |live: &LiveDisk| {
+            let since = self.behind.get(&live.member.disk);
+            since.is_some_and(|since| *since + self.limits.catch_up <= now)
         };
-        match live.iter().find(|l| !membership.has(&l.disk)) {
-            Some(waiting) => {
-                let mut next = without(lost(GIVEN_UP));
-                next.push(waiting.clone());
-                Some(next)
-            }
-            None if membership.members.len().is_multiple_of(2) => {
-                lost(DROPPED).map(|gone| without(Some(gone)))
+        let settled = |live: &LiveDisk| view.holds_epoch(live) || live.is_leaving() || patient(live);
+        holding >= view.membership.majority() && view.sighted().all(settled)
+    }
+
+    /// The member whose place another disk may have: one that was wiped, one that has been out of sight for too long,
+    /// one that leaves.
+    fn given_up<'a>(&self, now: Duration, view: View<'a>) -> Option<&'a Member> {
+        let lost = |m: &&Member| view.live(&m.disk).is_none();
+        let gone =
+            |m: &&Member| self.lost.get(&m.disk).is_some_and(|since| *since + self.limits.given_up() <= now);
+        let members = || view.membership.members.iter();
+        let renewed = members().filter(lost).find(|m| view.is_renewed(m));
+        let gone = || members().filter(lost).find(gone);
+        let leaves = || members().find(|m| view.live(&m.disk).is_some_and(LiveDisk::is_leaving));
+        renewed.or_else(gone).or_else(leaves)
+    }
+
+    /// The members that there should be next, for the process whose disk this is: none if all is well, if the duty
+    /// is another's, or while the last change is not settled. One place changes at a time.
+    pub fn next(&self, now: Duration, me: &str, view: View) -> Option<Vec<Member>> {
+        if view.holder().is_none_or(|holder| &*holder.disk != me) || !self.is_settled(now, view) {
+            return None;
+        }
+        let given_up = self.given_up(now, view);
+        let rest = || view.membership.members.iter().filter(|m| Some(*m) != given_up).cloned();
+        match (view.waiting(), given_up) {
+            (Some(waiting), Some(_)) => Some(rest().chain([waiting.clone()]).collect()),
+            // While a member is out of sight for less, it comes back or its place is free: more members than disks
+            // that live would be more votes to wait for.
+            (Some(waiting), None) if view.sighted().count() == view.membership.members.len() => {
+                Some(rest().chain([waiting.clone()]).collect())
             }
-            None => None,
+            (None, Some(_)) if self.limits.has_one_too_many(view.membership) => Some(rest().collect()),
+            _ => None,
         }
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn member(disk: &str, address: &str) -> Member {
-        Member { disk: disk.into(), address: address.to_owned() }
-    }
-
-    fn five() -> Vec<Member> {
-        ["a", "b", "c", "d", "e"].map(|d| member(d, d)).to_vec()
-    }
-
-    const NOW: Duration = Duration::from_secs(100);
-
-    #[test]
-    fn a_wiped_disk_is_replaced_at_once_and_a_lost_one_after_a_while() {
-        let membership = Membership::new(3, five());
-        let mut live = five();
-        live[4] = member("new", "e");
-        let mut watch = Watch::default();
-        watch.look(NOW, &membership, &live);
-        let next = watch.next(NOW, "a", &membership, &live).expect("the wiped one is replaced");
-        assert!(next.len() == 5 && next.contains(&member("new", "e")) && !next.contains(&member("e", "e")));
-        live[4] = member("new", "elsewhere");
-        let mut watch = Watch::default();
-        watch.look(NOW, &membership, &live);
-        assert_eq!(watch.next(NOW, "a", &membership, &live).expect("it is added first").len(), 6);
-        let later = NOW + GIVEN_UP;
-        watch.look(later, &membership, &live);
-        assert_eq!(watch.next(later, "a", &membership, &live).expect("in its place").len(), 5);
-    }
-
-    #[test]
-    fn only_the_first_in_sight_acts_and_only_with_a_majority() {
-        let membership = Membership::new(3, five());
-        let mut live = five();
-        live.push(member("f", "f"));
-        let mut watch = Watch::default();
-        watch.look(NOW, &membership, &live);
-        assert!(watch.next(NOW, "b", &membership, &live).is_none());
-        assert!(watch.next(NOW, "a", &membership, &live).is_some());
-        let few = [live[1].clone(), live[2].clone(), live[5].clone()];
-        watch.look(NOW, &membership, &few);
-        assert!(watch.next(NOW, "b", &membership, &few).is_none(), "two of five decide nothing");
-    }
-
-    #[test]
-    fn an_even_set_drops_what_is_lost_and_an_odd_one_keeps_it() {
-        let mut six = five();
-        six.push(member("f", "f"));
-        for (all, dropped) in [(six, true), (five(), false)] {
-            let membership = Membership::new(3, all.clone());
-            let live: Vec<Member> = all[1..].to_vec();
-            let mut watch = Watch::default();
-            watch.look(NOW, &membership, &live);
-            assert!(watch.next(NOW + DROPPED / 2, "b", &membership, &live).is_none());
-            assert_eq!(watch.next(NOW + DROPPED, "b", &membership, &live).is_some(), dropped);
-        }
+/// Whether a process that was told to end may do so now. `mine` is what its disk holds.
+///
+/// It leaves the membership first where that takes nothing from the others: where another disk waits for its place,
+/// or where one member less bears as many losses. Elsewhere it stays a member and just ends, for it may be a restart.
+/// Either way it waits until a majority of the members that remain has said that they hold what it holds.
+pub fn may_end(me: &str, mine: Held, view: View, limits: Limits) -> bool {
+    let member = view.membership.has(me);
+    if !member && mine.epoch == 0 {
+        // A disk that never had a place holds nothing.
+        return true;
+    }
+    let replaceable = view.waiting().is_some() || limits.has_one_too_many(view.membership);
+    let decided = view.sighted().count() >= view.membership.majority();
+    if member && replaceable && decided && view.holder().is_some() {
+        return false;
     }
+    let remaining = view.membership.members.iter().filter(|m| &*m.disk != me).count();
+    let others = view.sighted().filter(|live| &*live.member.disk != me);
+    let hold = others.filter(|live| view.holds_epoch(live) && live.report.is_some_and(|r| r.held >= mine));
+    remaining == 0 || hold.count() > remaining / 2
 }
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashvane_quorum::duty::{DiskReport, Held, LiveDisk, View};
 use ashvane_quorum::{Ask, Member, Membership, Operation, Outcome, Replica, StoredConfig, Told, Watch};
 
 /// Milliseconds.
@@ -106,8 +107,14 @@
     broken: bool,
 }
 
-fn member_of(machine: &Machine) -> Member {
-    Member { disk: machine.replica.kept().disk.clone(), address: machine.address.clone() }
+/// A machine's disk as the others see it, with what is synced there.
+fn live_disk(machine: &Machine) -> LiveDisk {
+    let member = Member { disk: machine.replica.kept().disk.clone(), address: machine.address.clone() };
+    let held = Held {
+        epoch: machine.disk.kept().membership.epoch,
+        version: machine.disk.stored().map_or(0, |f| f.version),
+    };
+    LiveDisk { member, report: Some(DiskReport { held, leaving: false }) }
 }
 
 impl World {
@@ -211,15 +218,16 @@
             let membership = self.machines[other].known.clone();
             self.learn(n, &membership);
         }
-        let live: Vec<Member> = (0..self.machines.len())
+        let live: Vec<LiveDisk> = (0..self.machines.len())
             .filter(|m| self.machines[*m].up && self.reach(n, *m))
-            .map(|m| member_of(&self.machines[m]))
+            .map(|m| live_disk(&self.machines[m]))
             .collect();
         let now = Duration::from_millis(self.now);
         let m = &mut self.machines[n];
-        m.watch.look(now, &m.known, &live);
+        let view = View { membership: &m.known, live: &live };
+        m.watch.look(now, view);
         let me = m.replica.kept().disk.clone();
-        let next = m.watch.next(now, &me, &m.known, &live).filter(|_| !m.changing);
+        let next = m.watch.next(now, &me, view).filter(|_| !m.changing);
         if let Some(next) = next {
             m.changing = true;
             let operation = Operation::change(format!("{me}/{}", m.life).into(), m.known.clone(), Some(next));
