--- a/crates/quorum/src/duty.rs
+++ b/crates/quorum/src/duty.rs
@@ -89,6 +89,12 @@
         self.live.iter().find(waits).map(|live| &live.member)
     }
 
+    /// Members whose processes were told to end.
+    fn leaving(&self) -> impl Iterator<Item = &'a Member> {
+        let leaves = |m: &&Member| self.live(&m.disk).is_some_and(LiveDisk::is_leaving);
+        self.membership.members.iter().filter(leaves)
+    }
+
     /// Another disk is at a member's address: its own was wiped.
     fn is_renewed(&self, member: &Member) -> bool {
         self.live.iter().any(|l| l.member.address == member.address && l.member.disk != member.disk)
@@ -111,11 +117,11 @@
         self.catch_up.saturating_sub(CHANGE_TAKES).max(GIVEN_UP_LEAST)
     }
 
-    /// Whether a membership without one of its members bears as many losses as the one with it, and as many as it
-    /// has to: then that member is one vote more to wait for and nothing else.
-    fn has_one_too_many(&self, membership: &Membership) -> bool {
-        let many = membership.members.len();
-        many.is_multiple_of(2) && many > 2 * self.losses + 1
+    /// Whether a membership that is so many smaller takes one vote less to decide, and still bears as many losses as
+    /// have to be borne. Without that a member that is gone is no burden, and its place is there when it is back.
+    fn has_to_spare(&self, membership: &Membership, fewer: usize) -> bool {
+        let rest = membership.members.len().saturating_sub(fewer);
+        rest / 2 + 1 < membership.majority() && rest > 2 * self.losses
     }
 }
 
@@ -169,37 +175,37 @@
         holding >= view.membership.majority() && view.sighted().all(settled)
     }
 
-    /// The member whose place another disk may have: one that was wiped, one that has been out of sight for too long,
-    /// one that leaves.
-    fn given_up<'a>(&self, now: Duration, view: View<'a>) -> Option<&'a Member> {
-        let lost = |m: &&Member| view.live(&m.disk).is_none();
+    /// Members that are lost as far as anyone can tell: first those that were wiped, then those that have been out of
+    /// sight for too long.
+    fn given_up<'a>(&self, now: Duration, view: View<'a>) -> Vec<&'a Member> {
         let gone =
-            |m: &&Member| self.lost.get(&m.disk).is_some_and(|since| *since + self.limits.given_up() <= now);
-        let members = || view.membership.members.iter();
-        let renewed = members().filter(lost).find(|m| view.is_renewed(m));
-        let gone = || members().filter(lost).find(gone);
-        let leaves = || members().find(|m| view.live(&m.disk).is_some_and(LiveDisk::is_leaving));
-        renewed.or_else(gone).or_else(leaves)
+            |m: &Member| self.lost.get(&m.disk).is_some_and(|since| *since + self.limits.given_up() <= now);
+        let lost = view.membership.members.iter().filter(|m| view.live(&m.disk).is_none());
+        let (renewed, rest): (Vec<_>, Vec<_>) = lost.partition(|m| view.is_renewed(m));
+        renewed.into_iter().chain(rest.into_iter().filter(|m| gone(m))).collect()
     }
 
     /// The members that there should be next, for the process whose disk this is: none if all is well, if the duty
-    /// is another's, or while the last change is not settled. One place changes at a time.
+    /// is another's, or while the last change is not settled.
     pub fn next(&self, now: Duration, me: &str, view: View) -> Option<Vec<Member>> {
         if view.holder().is_none_or(|holder| &*holder.disk != me) || !self.is_settled(now, view) {
             return None;
         }
         let given_up = self.given_up(now, view);
-        let rest = || view.membership.members.iter().filter(|m| Some(*m) != given_up).cloned();
-        match (view.waiting(), given_up) {
-            (Some(waiting), Some(_)) => Some(rest().chain([waiting.clone()]).collect()),
-            // While a member is out of sight for less, it comes back or its place is free: more members than disks
-            // that live would be more votes to wait for.
-            (Some(waiting), None) if view.sighted().count() == view.membership.members.len() => {
-                Some(rest().chain([waiting.clone()]).collect())
-            }
-            (None, Some(_)) if self.limits.has_one_too_many(view.membership) => Some(rest().collect()),
-            _ => None,
-        }
+        let replaced: Vec<&Member> = given_up.iter().copied().chain(view.leaving()).collect();
+        let complete = view.sighted().count() == view.membership.members.len();
+        let gone: &[&Member] = match view.waiting() {
+            Some(_) if !replaced.is_empty() => &replaced[..1],
+            Some(_) if complete => &[],
+            // A member that is out of sight for less comes back, or its place is free: more members than disks that
+            // live would be more votes to wait for.
+            Some(_) => return None,
+            None if !replaced.is_empty() && self.limits.has_to_spare(view.membership, 1) => &replaced[..1],
+            None if given_up.len() > 1 && self.limits.has_to_spare(view.membership, 2) => &given_up[..2],
+            None => return None,
+        };
+        let rest = view.membership.members.iter().filter(|m| !gone.contains(m));
+        Some(rest.chain(view.waiting()).cloned().collect())
     }
 }
 
@@ -214,7 +220,7 @@
         // A disk that never had a place holds nothing.
         return true;
     }
-    let replaceable = view.waiting().is_some() || limits.has_one_too_many(view.membership);
+    let replaceable = view.waiting().is_some() || limits.has_to_spare(view.membership, 1);
     let decided = view.sighted().count() >= view.membership.majority();
     if member && replaceable && decided && view.holder().is_some() {
         return false;
--- a/crates/quorum/tests/duty.rs
+++ b/crates/quorum/tests/duty.rs
@@ -99,6 +99,16 @@
     }
 }
 
+#[test]
+fn two_that_are_gone_of_an_odd_number_are_dropped_together_where_enough_remain() {
+    for (many, losses, next) in [(5, 1, Some("c d e")), (7, 2, Some("c d e f g")), (5, 2, None)] {
+        let (membership, disks) = first(many);
+        let limits = Limits { losses, ..LIMITS };
+        assert_eq!(proposed("c", &membership, &disks[2..], 1500, limits).as_deref(), next);
+        assert_eq!(proposed("b", &membership, &disks[1..], 1500, limits), None, "one takes no vote away");
+    }
+}
+
 #[test]
 fn a_member_leaves_where_that_takes_nothing_from_the_others() {
     let mine = Held { epoch: EPOCH, version: 7 };
