--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -1,6 +1,7 @@
 //! Whom this process connects to, who feeds it, and what it takes from each message.
 
 use super::*;
+use crate::register::Via;
 
 impl Agent {
     pub(super) fn call(self: &Rc<Self>, address: String) {
@@ -144,7 +145,7 @@
         self.compare(&mut self.links.borrow_mut(), &[number]);
         if let Some(register) = self.register.as_ref().filter(|_| control_node) {
             self.links.borrow_mut().send(number, &Message::Disk(self.disk_report(register)));
-            self.ask(register.look(true));
+            self.look_at_operations(true);
         }
     }
 
@@ -198,22 +199,15 @@
                 }
             }
             Message::Config(stored) => self.config_is(stored),
-            Message::Ask { number: asked, ask } => {
-                let Some(register) = &self.register else { return };
-                let (agent, own) = (self.clone(), register.ask_own(&ask));
-                tokio::task::spawn_local(async move {
-                    if let Some(told) = own.await {
-                        agent.report_disk();
-                        agent.links.borrow_mut().send(number, &Message::Told { number: asked, told });
-                    }
-                });
-            }
             Message::Disk(report) => {
                 if let Some(link) = self.links.borrow_mut().get_mut(number) {
                     link.disk = Some(report);
                 }
             }
-            Message::Told { number: asked, told } => self.told(asked, told),
+            Message::Request { number: asked, request } => self.answer_request(number, asked, &request),
+            Message::Response { number: asked, response } => {
+                self.responded(asked, Via::Link(number), response);
+            }
         }
     }
 
--- a/crates/node/src/agent/membership.rs
+++ b/crates/node/src/agent/membership.rs
@@ -56,7 +56,7 @@
     pub(super) fn look_at_members(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
         let (now, live) = (self.now(), self.live_disks());
-        let membership = self.directory.borrow().membership().clone();
+        let membership = self.membership().unwrap_or_default();
         let view = View { membership: &membership, live: &live };
         let me = self.directory.borrow().me().disk.clone().unwrap_or_default();
         let next = {
@@ -68,11 +68,11 @@
         info!(self.log, "the set of disks is to change"; "epoch" => membership.epoch + 1,
             "disks" => next.iter().map(|s| &*s.disk).collect::<Vec<_>>().join(" "));
         self.changing.set(true);
-        let (asks, outcome) = register.change(membership, next);
-        self.ask(asks);
+        let (work, outcome) = register.change(membership, next);
+        self.carry_out(work);
         let agent = self.clone();
         tokio::task::spawn_local(async move {
-            if let Ok(Outcome::Seated(membership)) = outcome.await {
+            if let Ok(Outcome::Changed(membership)) = outcome.await {
                 info!(agent.log, "the set of disks has changed"; "epoch" => membership.epoch);
                 agent.learn(vec![Update::Membership(membership)], None);
             }
@@ -83,13 +83,9 @@
     /// Brings this process's own disk into the newest epoch that names it, whether or not anybody writes.
     pub(super) fn catch_up(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        let behind = {
-            let directory = self.directory.borrow();
-            let membership = directory.membership();
-            let mine = directory.me().disk.as_ref().is_some_and(|disk| membership.has(disk));
-            mine && register.held().epoch < membership.epoch
-        };
-        if behind && !self.reading.replace(true) {
+        let Some(membership) = self.membership().filter(|m| m.epoch > register.held().epoch) else { return };
+        let named = self.directory.borrow().me().disk.as_ref().is_some_and(|disk| membership.has(disk));
+        if named && !self.reading.replace(true) {
             let agent = self.clone();
             tokio::task::spawn_local(async move {
                 agent.newest().await;
@@ -101,9 +97,9 @@
     /// Whether this process, told to end, leaves nothing undone in the membership.
     pub fn may_end(&self) -> bool {
         let Some(register) = &self.register else { return true };
-        let (directory, live) = (self.directory.borrow(), self.live_disks());
-        let me = directory.me().disk.clone().unwrap_or_default();
-        let view = View { membership: directory.membership(), live: &live };
+        let (membership, live) = (self.membership().unwrap_or_default(), self.live_disks());
+        let me = self.directory.borrow().me().disk.clone().unwrap_or_default();
+        let view = View { membership: &membership, live: &live };
         duty::may_end(&me, register.held(), view, self.watch.borrow().limits())
     }
 
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -8,7 +8,7 @@
 
 use ashvane_gossip::{Buckets, Digest, Node, Summary, Update};
 use ashvane_quorum::duty::DiskReport;
-use ashvane_quorum::{Ask, StoredConfig, Told};
+use ashvane_quorum::{Request, Response, StoredConfig};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
 use tokio::net::TcpStream;
@@ -52,13 +52,15 @@
         above: u64,
     },
     Config(StoredConfig),
-    Ask {
+    /// What an operation asks of this process's replica.
+    Request {
         number: u64,
-        ask: Ask,
+        request: Request,
     },
-    Told {
+    /// The answer to the request of that number, on the link that it came on.
+    Response {
         number: u64,
-        told: Told,
+        response: Response,
     },
     /// What a control node says of its own disk to the others: at first and whenever it changes.
     Disk(DiskReport),
@@ -75,7 +77,7 @@
             Message::Digest(_) => "digests",
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
-            Message::Ask { .. } | Message::Told { .. } | Message::Disk(_) => "register",
+            Message::Request { .. } | Message::Response { .. } | Message::Disk(_) => "register",
             Message::Packed(_) => "packed",
         }
     }
--- a/crates/node/tests/replacements.rs
+++ b/crates/node/tests/replacements.rs
@@ -1,6 +1,7 @@
 //! Losses, replacements and ends of control nodes, soon after one another: whole processes in the simulation. What was
 //! acknowledged is read ever after, each epoch has one membership, and orders are acknowledged in time.
 
+#[allow(dead_code)]
 mod simulation;
 
 use std::collections::BTreeMap;
@@ -473,6 +474,6 @@
         world.pass(CATCH_UP).await;
         assert_eq!(world.epoch(), epoch, "nothing else changed");
         let safe = behind.storage.as_ref().expect("a disk").safe.borrow().clone();
-        assert_eq!(safe.kept.expect("a state").membership.epoch, epoch);
+        assert_eq!(safe.replica.expect("a state").membership.epoch, epoch);
     });
 }
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -1,9 +1,6 @@
 //! A simulation of machines: whole processes of the system, each with its register, directory, links and duties as in service,
 //! on a network and on disks that are played. Time is tokio's own, paused: it goes on where all wait.
 
-// Each test takes what it needs.
-#![allow(dead_code)]
-
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::pin::Pin;
@@ -386,7 +383,7 @@
             }
         });
         let replica = replica(&settings, &disk, found, &log).await;
-        let name = replica.kept().disk.clone();
+        let name = replica.state().disk.clone();
         register = Some((Register::new(replica, disk, life), name));
     }
     let (register, disk) = register.unzip();
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -2,6 +2,7 @@
 //! core killed at once, all without power, while operators race each other and servers come and go. What must hold is
 //! checked all along. Time is counted, nothing is waited for.
 
+#[allow(dead_code)]
 mod simulation;
 
 use std::cell::{Cell, RefCell};
--- a/crates/quorum/src/duty.rs
+++ b/crates/quorum/src/duty.rs
@@ -153,7 +153,7 @@
     /// Looks at which disks are in sight now.
     pub fn look(&mut self, now: Duration, view: View) {
         let note = |since: &mut BTreeMap<DiskId, Duration>, noted: &dyn Fn(&Member) -> bool| {
-            since.retain(|disk, _| view.membership.members.iter().any(|m| m.disk == *disk && noted(m)));
+            since.retain(|disk, _| view.membership.member(disk).is_some_and(noted));
             for member in view.membership.members.iter().filter(|m| noted(m)) {
                 since.entry(member.disk.clone()).or_insert(now);
             }
