--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -151,7 +151,8 @@
         self.compare(&mut self.links.borrow_mut(), &[number]);
         self.ask_for_verification();
         self.confirm_again();
-        if control_node {
+        if let Some(register) = self.register.as_ref().filter(|_| control_node) {
+            self.links.borrow_mut().send(number, &Message::Disk(self.disk_report(register)));
             self.look_at_operations(true);
         }
     }
@@ -216,6 +217,11 @@
                 }
             }
             Message::Config(stored) => self.config_is(stored),
+            Message::Disk(report) => {
+                if let Some(link) = self.links.borrow_mut().get_mut(number) {
+                    link.disk = Some(report);
+                }
+            }
             Message::Request { number: asked, request } => self.answer_request(number, asked, &request),
             Message::Response { number: asked, response } => {
                 self.responded(asked, Via::Link(number), response);
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Buckets, Digest, Node, Summary, Update};
+use ashvane_quorum::duty::DiskReport;
 use ashvane_quorum::{Request, Response, StoredConfig};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
@@ -73,6 +74,8 @@
         number: u64,
         digest: Digest,
     },
+    /// What a control node says of its own disk to the others: at first and whenever it changes.
+    Disk(DiskReport),
     /// Another line, deflated: where many entries go at once they are much alike.
     Packed(String),
 }
@@ -86,7 +89,7 @@
             Message::Digest(_) => "digests",
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
-            Message::Request { .. } | Message::Response { .. } => "register",
+            Message::Request { .. } | Message::Response { .. } | Message::Disk(_) => "register",
             Message::Verify { .. } | Message::Verified { .. } => "readiness",
             Message::Packed(_) => "packed",
         }
@@ -134,6 +137,8 @@
     pub verifying: Option<(u64, Instant)>,
     /// The version that was in force there when it had compared itself with a majority, after that question.
     pub verified: Option<u64>,
+    /// What the process at the other end has said of its disk.
+    pub disk: Option<DiskReport>,
 }
 
 impl Link {
@@ -297,6 +302,7 @@
         alone: false,
         verifying: None,
         verified: None,
+        disk: None,
     };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
