--- /dev/null
+++ b/crates/node/tests/days/history.rs
@@ -0,0 +1,115 @@
+//! What callers were told and what processes went by, and what may never be told or gone by after that.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ashvane_node::config::Config;
+
+/// One text of an operator's configuration: two orders under one version differ in their salt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Order {
+    pub version: u64,
+    pub salt: u64,
+}
+
+impl Order {
+    /// The order that a configuration in force stems from.
+    pub fn of(config: &Config) -> Option<Order> {
+        let salt = config.routes().next()?.name.strip_prefix('r')?.parse().ok()?;
+        Some(Order { version: config.version, salt })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Acknowledged,
+    Refused,
+    Unclear,
+}
+
+/// All that was said of orders, to whomever, and all that was in force, wherever.
+#[derive(Default)]
+pub struct History {
+    sent: BTreeSet<Order>,
+    acknowledged: BTreeSet<Order>,
+    refused: BTreeSet<Order>,
+    /// The text of each version that was acknowledged, read or in force.
+    texts: BTreeMap<u64, u64>,
+    /// The newest version that was acknowledged, read or in force.
+    newest: u64,
+    broken: Vec<String>,
+}
+
+impl History {
+    /// Nothing that must not be has been seen so far.
+    pub fn check(&self) {
+        let first = self.broken.iter().take(2).cloned().collect::<Vec<_>>();
+        assert!(first.is_empty(), "{}", first.join("; "));
+    }
+
+    pub fn fault(&mut self, what: String) {
+        self.broken.push(what);
+    }
+
+    pub fn sent(&mut self, order: Order) {
+        self.sent.insert(order);
+    }
+
+    pub fn acknowledged(&self) -> impl Iterator<Item = Order> {
+        self.acknowledged.iter().copied()
+    }
+
+    pub fn refused(&self) -> impl Iterator<Item = Order> {
+        self.refused.iter().copied()
+    }
+
+    /// What a read that begins now must at least find.
+    pub fn floor(&self) -> u64 {
+        self.newest
+    }
+
+    /// Some caller or process takes this for what stands under its number.
+    fn stands(&mut self, order: Order, whose: &str) {
+        let text = *self.texts.entry(order.version).or_insert(order.salt);
+        if text != order.salt {
+            self.fault(format!("{whose}: {order:?}, another was told {text} under this number"));
+        }
+        if self.refused.contains(&order) {
+            self.fault(format!("{whose}: {order:?}, which was refused"));
+        }
+        if !self.sent.contains(&order) {
+            self.fault(format!("{whose}: {order:?}, which nobody sent"));
+        }
+        self.newest = self.newest.max(order.version);
+    }
+
+    pub fn answered(&mut self, order: Order, answer: Answer, by: &str) {
+        match answer {
+            Answer::Unclear => {}
+            Answer::Acknowledged => {
+                self.acknowledged.insert(order);
+                self.stands(order, &format!("acknowledged by {by}"));
+            }
+            Answer::Refused => {
+                if self.texts.get(&order.version) == Some(&order.salt) {
+                    self.fault(format!("{by} refuses {order:?}, which was acknowledged, read or in force"));
+                }
+                self.refused.insert(order);
+            }
+        }
+    }
+
+    /// A read that began at this floor has found this; zero stands for nothing.
+    pub fn read(&mut self, floor: u64, found: Option<Order>, by: &str) {
+        let version = found.map_or(0, |order| order.version);
+        if version < floor {
+            self.fault(format!("{by} answers {version} to a read that began after {floor}"));
+        }
+        if let Some(order) = found {
+            self.stands(order, &format!("read at {by}"));
+        }
+    }
+
+    pub fn in_force(&mut self, order: Order, at: &str) {
+        self.stands(order, &format!("in force at {at}"));
+    }
+}
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -44,14 +44,34 @@
 
 type Job = Box<dyn FnOnce(Rc<Agent>)>;
 
+/// Some machines that are cut off from all others, both ways or one way.
+struct Cut {
+    far: BTreeSet<String>,
+    /// What the others say does not reach them.
+    inward: bool,
+    /// What they say does not reach the others.
+    outward: bool,
+}
+
+impl Cut {
+    fn stops(&self, from: &str, to: &str) -> bool {
+        match (self.far.contains(from), self.far.contains(to)) {
+            (false, true) => self.inward,
+            (true, false) => self.outward,
+            _ => false,
+        }
+    }
+}
+
 /// The network: who listens, and which machines are cut off from the others.
 #[derive(Default)]
 pub struct Network {
     doors: RefCell<BTreeMap<String, mpsc::UnboundedSender<Ways>>>,
-    /// Machines on the far side of a cut, by the first part of their addresses.
-    far: RefCell<BTreeSet<String>>,
-    /// Machines that nothing reaches, though what they say arrives.
-    deaf: RefCell<BTreeSet<String>>,
+    /// By number, each until it is mended.
+    cuts: RefCell<BTreeMap<u64, Cut>>,
+    next_cut: Cell<u64>,
+    /// What a message may take longer than [`WAY`], each a time of its own.
+    pub jitter: Cell<Duration>,
     /// Rises with each moment at which a machine's connections break.
     breaks: RefCell<BTreeMap<String, u32>>,
     pumps: RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>>,
@@ -62,15 +82,18 @@
     address.split_once(':').map_or(address, |(host, _)| host)
 }
 
+/// Which ways a cut stops what is said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    Both,
+    Inward,
+    Outward,
+}
+
 impl Network {
     /// Whether what one machine says does not reach another.
     fn is_cut(&self, from: &str, to: &str) -> bool {
-        let far = self.far.borrow();
-        far.contains(host(from)) != far.contains(host(to)) || self.deaf.borrow().contains(host(to))
-    }
-
-    pub fn deafen(&self, machine: &str) {
-        self.deaf.borrow_mut().insert(machine.to_owned());
+        self.cuts.borrow().values().any(|cut| cut.stops(host(from), host(to)))
     }
 
     pub fn break_all(&self, machine: &str) {
@@ -82,13 +105,26 @@
         [a, b].iter().filter_map(|m| breaks.get(host(m))).sum()
     }
 
-    pub fn mend(&self) {
-        self.cut([]);
-        self.deaf.borrow_mut().clear();
+    pub fn mend(&self, cut: u64) {
+        self.cuts.borrow_mut().remove(&cut);
+    }
+
+    /// Cuts these machines off from all others; the number mends it.
+    pub fn cut(&self, direction: Direction, far: impl IntoIterator<Item = String>) -> u64 {
+        let number = self.next_cut.get() + 1;
+        self.next_cut.set(number);
+        let (inward, outward) = (direction != Direction::Outward, direction != Direction::Inward);
+        self.cuts.borrow_mut().insert(number, Cut { far: far.into_iter().collect(), inward, outward });
+        number
     }
 
-    pub fn cut(&self, far: impl IntoIterator<Item = String>) {
-        *self.far.borrow_mut() = far.into_iter().collect();
+    fn is_far(&self, machine: &str) -> bool {
+        self.cuts.borrow().values().any(|cut| cut.far.contains(machine))
+    }
+
+    fn delay(&self) -> Duration {
+        let jitter = self.jitter.get().as_millis() as u64;
+        WAY + if jitter == 0 { Duration::ZERO } else { ms(fastrand::u64(..jitter)) }
     }
 
     fn carry(&self, pump: impl Future<Output = ()> + 'static) {
@@ -105,7 +141,7 @@
     let whole = network.broken(&from, &to);
     while network.broken(&from, &to) == whole {
         let n = read.read(&mut bytes).await.unwrap_or(0);
-        sleep(WAY).await;
+        sleep(network.delay()).await;
         while network.is_cut(&from, &to) {
             sleep(ms(20)).await;
         }
@@ -169,7 +205,7 @@
     pub ip: String,
     pub storage: Option<Storage>,
     /// As its settings file has them: those of the day on which it was written, and how many losses are to be borne.
-    seeds: Vec<String>,
+    pub seeds: RefCell<Vec<String>>,
     losses: usize,
     /// Rises with each start of its process.
     pub life: Cell<u32>,
@@ -179,6 +215,8 @@
     pub gone: Cell<bool>,
     body: RefCell<Option<JoinHandle<()>>>,
     frozen: Rc<Cell<bool>>,
+    /// Rises whenever the process is started, killed, frozen or thawed.
+    disturbed: Cell<u32>,
     waker: Rc<RefCell<Option<Waker>>>,
     agent: Rc<RefCell<Option<Rc<Agent>>>>,
     jobs: RefCell<Option<mpsc::UnboundedSender<Job>>>,
@@ -188,7 +226,7 @@
     fn new(name: String, number: usize, disk: bool, seeds: Vec<String>, losses: usize) -> Rc<Self> {
         let storage = disk.then(|| Storage { safe: Rc::default(), sync: Rc::new(Cell::new(SYNC)) });
         let well_since = Cell::new(Some(Instant::now()));
-        let ip = format!("10.0.0.{number}");
+        let (ip, seeds) = (format!("10.0.0.{number}"), RefCell::new(seeds));
         Rc::new(Machine { name, ip, storage, seeds, losses, well_since, ..Machine::default() })
     }
 
@@ -201,10 +239,20 @@
     }
 
     pub fn freeze(&self, frozen: bool) {
+        self.disturbed.set(self.disturbed.get() + 1);
         self.frozen.set(frozen);
         self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
 
+    pub fn is_stalled(&self) -> bool {
+        self.storage.as_ref().is_some_and(|storage| storage.sync.get() > SYNC)
+    }
+
+    /// Whether nothing is done to it at present.
+    pub fn is_well(&self, network: &Network) -> bool {
+        self.body.borrow().is_some() && !self.frozen.get() && !self.is_stalled() && !network.is_far(&self.ip)
+    }
+
     /// Its disk is empty from now on.
     pub fn wipe(&self) {
         self.storage.iter().for_each(|storage| drop(storage.safe.take()));
@@ -218,6 +266,11 @@
         network.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
     }
 
+    /// While this stands as it is and is there, the process runs and was not held up.
+    pub fn undisturbed(&self) -> Option<u32> {
+        (self.agent().is_some() && !self.frozen.get()).then(|| self.disturbed.get())
+    }
+
     /// What the process says to this, unless it takes longer than its caller waits.
     pub async fn ask<T: 'static, F: Future<Output = T> + 'static>(
         &self, patience: Duration, job: impl FnOnce(Rc<Agent>) -> F + 'static,
@@ -251,7 +304,7 @@
             self.name,
             self.ip,
             self.name.len() % 3,
-            self.seeds,
+            self.seeds.borrow(),
             self.losses,
         );
         let settings = Settings::parse(&text, "-").expect("settings");
@@ -361,6 +414,7 @@
     }
 }
 
+#[derive(Default)]
 pub struct Simulation {
     pub network: Rc<Network>,
     pub machines: RefCell<Vec<Rc<Machine>>>,
@@ -404,8 +458,32 @@
     }
 }
 
+thread_local! {
+    static PANICS: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A task that panics ends by itself and nobody else is told: every panic is noted.
+fn note_panics() {
+    static ONCE: std::sync::Once = std::sync::Once::new();
+    ONCE.call_once(|| {
+        let before = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            PANICS.with_borrow_mut(|panics| panics.push(info.to_string()));
+            before(info);
+        }));
+    });
+    PANICS.take();
+}
+
+/// No task of any process has panicked so far.
+pub fn check_panics() {
+    let panics = PANICS.with_borrow(|panics| panics.join("; "));
+    assert!(panics.is_empty(), "a task panicked: {panics}");
+}
+
 /// Plays on one thread, with time that is counted.
 pub fn play<F: Future>(world: F) -> F::Output {
+    note_panics();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     let began = async move {
         BEGAN.set(Some(Instant::now()));
