--- a/crates/node/tests/days/mod.rs
+++ b/crates/node/tests/days/mod.rs
@@ -266,7 +266,9 @@
                 };
                 let beats = async |at: Rc<Machine>| {
                     let beat = beat.clone();
-                    callers.ask(&at, async move |agent| agent.beat(beat).await).await == Some(true)
+                    let told = callers.ask(&at, async move |agent| agent.beat(beat).await).await;
+                    say(&format!("{id} says {state:?} to {}: {told:?}", at.name));
+                    told == Some(true)
                 };
                 if callers.until_clear(&[], rng.fork(), beats).await && state == State::Draining {
                     callers.told.borrow_mut().left.insert(id.clone(), Instant::now());
@@ -275,7 +277,9 @@
             }
             let gone = async |at: Rc<Machine>| {
                 let id = id.clone();
-                callers.ask(&at, async move |agent| agent.left(&id).await).await == Some(true)
+                let told = callers.ask(&at, async move |agent| agent.left(&id).await).await;
+                say(&format!("leaves {}: {told:?}", at.name));
+                told == Some(true)
             };
             callers.until_clear(&[], rng.fork(), gone).await;
         });
