--- a/crates/node/tests/replacements.rs
+++ b/crates/node/tests/replacements.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ashvane_node::agent::Put;
-use simulation::{GRACE, Machine, Simulation, configuration, ms, play, say};
+use simulation::{Direction, GRACE, Machine, Simulation, configuration, ms, play, say};
 use tokio::time::{Instant, sleep};
 
 /// The users' bounds, as at the small sites.
@@ -175,7 +175,7 @@
             }
             Loss::Replaced | Loss::Silent => {
                 if loss == Loss::Silent {
-                    world.simulation.network.cut(lost.iter().map(|m| m.ip.clone()));
+                    world.simulation.network.cut(Direction::Both, lost.iter().map(|m| m.ip.clone()));
                     lost.iter().for_each(|m| m.gone.set(true));
                     lost.iter().for_each(|m| m.freeze(true));
                 } else {
@@ -396,14 +396,14 @@
         let mut world = World::new(5, 2).await;
         let [last, b, c, d, e] = [0, 1, 2, 3, 4].map(|n| world.control(n));
         world.put_in_time().await;
-        world.simulation.network.cut([d.ip.clone(), e.ip.clone()]);
+        world.simulation.network.cut(Direction::Both, [d.ip.clone(), e.ip.clone()]);
         world.pass(ms(500)).await;
         world.put_in_time().await;
         for lost in [&b, &c] {
             world.wipe(lost);
             lost.gone.set(true);
         }
-        world.simulation.network.mend();
+        world.simulation.network.mend_all();
         for _ in [&b, &c] {
             world.add();
         }
@@ -429,7 +429,7 @@
             world.put_in_time().await;
             world.pass(CATCH_UP).await;
             world.put_in_time().await;
-            world.simulation.network.mend();
+            world.simulation.network.mend_all();
             world.pass(CATCH_UP * 2).await;
             assert!(world.to_spare().is_some_and(|spare| spare >= 2), "{wait}: {:?}", world.epochs);
             world.read_back().await;
