Servers are reached through a connector, clients served on any stream

Cause: the queries' path opened sockets by itself, so no test could play its connections with counted time. Change: pool::Connector stands between the pool and the servers (pool::Tcp in service), front::serve takes any stream, DataPlane::new takes the connector and tells how many connections are open.

--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -18,7 +18,7 @@
 
 use crate::config::{Config, Route, Target};
 use crate::merge::greatest;
-use crate::pool::{Answer, Asked, Pool, SERVER_SEAL};
+use crate::pool::{Answer, Asked, Connector, Pool, SERVER_SEAL};
 use crate::settings::Settings;
 use crate::verdict::{CallError, Verdict};
 
@@ -150,7 +150,7 @@
 }
 
 impl DataPlane {
-    pub fn new(settings: &Settings, log: Logger) -> Rc<Self> {
+    pub fn new(settings: &Settings, servers: Rc<dyn Connector>, log: Logger) -> Rc<Self> {
         let started = Instant::now();
         let zone = settings.zones.iter().position(|z| *z == settings.zone).map(|z| z as u32);
         let start = Start {
@@ -183,7 +183,7 @@
         let acts = Rc::default();
         let hands = Hands { acts: Rc::clone(&acts), shares: shares.clone() };
         let gatherer = Gatherer::new(hands, &start, Duration::ZERO).into();
-        let (cells, verticals, config, queries, parts, known, pool, wakes) = Default::default();
+        let (cells, verticals, config, queries, parts, known, wakes) = Default::default();
         let plane = Rc::new(DataPlane {
             log,
             started,
@@ -197,7 +197,7 @@
             queries,
             parts,
             known,
-            pool,
+            pool: Pool::new(servers),
             wakes,
             woken: Notify::new(),
             next: Cell::new(0),
@@ -566,6 +566,11 @@
         let _ = q.reply.send(reply);
     }
 
+    /// Connections that are open to servers.
+    pub fn open_connections(&self) -> usize {
+        self.pool.open()
+    }
+
     /// This gatherer's part of what all share, by service.
     pub fn allotments(&self) -> Value {
         let shares = self.shares.borrow();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -12,14 +12,14 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::agent::Agent;
 use crate::config::{Config, Limits};
 use crate::data_plane::{DataPlane, Reply};
-use crate::pool::{ATTEMPT_ID, Asked, drop_hop_headers};
+use crate::pool::{ATTEMPT_ID, Asked, Stream, drop_hop_headers};
 
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
 const PART_SEALS: HeaderName = HeaderName::from_static("part-seals");
@@ -160,7 +160,8 @@
     encode(reply)
 }
 
-async fn serve(stream: TcpStream, agent: Rc<Agent>, plane: Rc<DataPlane>, door: Rc<Door>) {
+/// Serves one client's connection to its end.
+pub async fn serve(stream: impl Stream, agent: Rc<Agent>, plane: Rc<DataPlane>, door: Rc<Door>) {
     let number = door.next.get();
     door.next.set(number + 1);
     let end = Rc::new(Notify::new());
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -3,6 +3,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -33,6 +36,33 @@
 /// The longest answer that is read, in bytes.
 const ANSWER_MOST: usize = 16 << 20;
 
+/// A connection's bytes both ways, whatever carries them.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> Stream for T {}
+
+/// A connection to a server that is coming up.
+pub type Connecting = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>>>>;
+
+/// What lies between a gateway and the servers.
+pub trait Connector {
+    fn connect(&self, address: &str) -> Connecting;
+}
+
+/// The network that the servers are on.
+pub struct Tcp;
+
+impl Connector for Tcp {
+    fn connect(&self, address: &str) -> Connecting {
+        let address = address.to_owned();
+        Box::pin(async move {
+            let stream = TcpStream::connect(&address).await?;
+            let _ = stream.set_nodelay(true);
+            Ok(Box::new(stream) as _)
+        })
+    }
+}
+
 /// A client's request as it is handed on: the same for every server.
 pub struct Asked {
     pub method: Method,
@@ -86,8 +116,8 @@
     pub foreign: Cell<u64>,
 }
 
-#[derive(Default)]
 pub struct Pool {
+    connector: Rc<dyn Connector>,
     targets: RefCell<BTreeMap<Rc<str>, Rc<Target>>>,
     pub counters: Rc<Counters>,
 }
@@ -170,22 +200,21 @@
     }
 
     async fn connect(
-        self: &Rc<Self>, limit: Duration, counters: &Counters,
+        self: &Rc<Self>, limit: Duration, pool: &Pool,
     ) -> Result<SendRequest<Full<Bytes>>, CallError> {
         if self.open.get() >= self.most.get() {
             return Err(CallError::NoRoom { address: self.address.clone() });
         }
         self.open.set(self.open.get() + 1);
         let open = Open(self.clone());
-        bump(&counters.connects);
+        bump(&pool.counters.connects);
         let within = CONNECT.min(limit);
         let failed = || CallError::NoConnection { address: self.address.clone(), within };
-        let connected = timeout(within, TcpStream::connect(&self.address)).await;
+        let connected = timeout(within, pool.connector.connect(&self.address)).await;
         let Ok(Ok(stream)) = connected else {
-            bump(&counters.refused);
+            bump(&pool.counters.refused);
             return Err(failed());
         };
-        let _ = stream.set_nodelay(true);
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed())?;
         tokio::task::spawn_local(async move {
             let _open = open;
@@ -195,16 +224,14 @@
     }
 
     /// Sends a request and reads the answer whole.
-    async fn send(
-        self: &Rc<Self>, asked: &Asked, limit: Duration, counters: &Counters,
-    ) -> Result<Answer, CallError> {
+    async fn send(self: &Rc<Self>, asked: &Asked, limit: Duration, pool: &Pool) -> Result<Answer, CallError> {
         let until = Instant::now() + limit;
         let mut sender = match self.take_idle(asked.once) {
             Some(sender) => {
-                bump(&counters.reused);
+                bump(&pool.counters.reused);
                 sender
             }
-            None => self.connect(limit, counters).await?,
+            None => self.connect(limit, pool).await?,
         };
         let left = until.saturating_duration_since(Instant::now()).as_millis();
         let mut request = Request::new(Full::new(asked.body.clone()));
@@ -228,7 +255,7 @@
         let (head, body) = response.into_parts();
         // A surplus answer to an earlier request stands where this one's is due.
         if head.headers.get(ATTEMPT_ID) != Some(&asked.attempt) {
-            bump(&counters.foreign);
+            bump(&pool.counters.foreign);
             return Err(CallError::Unusable { what: "an answer to another request" });
         }
         let collected = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
@@ -253,6 +280,10 @@
 }
 
 impl Pool {
+    pub fn new(connector: Rc<dyn Connector>) -> Self {
+        Pool { connector, targets: RefCell::default(), counters: Rc::default() }
+    }
+
     /// A server that may be sent requests, and how many connections it may have from here.
     pub fn is_there(&self, id: &str, address: &str, most: usize) {
         let mut targets = self.targets.borrow_mut();
@@ -284,7 +315,7 @@
     pub async fn send(&self, id: &str, asked: &Asked, limit: Duration) -> Result<Answer, CallError> {
         let target = self.targets.borrow().get(id).cloned();
         match target {
-            Some(target) => target.send(asked, limit, &self.counters).await,
+            Some(target) => target.send(asked, limit, self).await,
             None => Err(CallError::NeverSent),
         }
     }
@@ -304,7 +335,7 @@
     #[tokio::test(start_paused = true)]
     async fn what_must_not_run_twice_takes_no_connection_that_rested() {
         let test = async {
-            let pool = Pool::default();
+            let pool = Pool::new(Rc::new(Tcp));
             pool.is_there("i-1", "127.0.0.1:1", 4);
             let target = pool.targets.borrow()["i-1"].clone();
             let (near, _far) = tokio::io::duplex(1024);
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -19,6 +19,7 @@
 use crate::disk::Disk;
 use crate::front::{self, Door};
 use crate::links;
+use crate::pool;
 use crate::register::Register;
 use crate::settings::Settings;
 use crate::verdict::StartError;
@@ -186,7 +187,7 @@
     }
     let (register, disk) = register.unzip();
     let me = node(&settings, life, address.to_string(), disk);
-    let plane = settings.front.map(|_| DataPlane::new(&settings, log.clone()));
+    let plane = settings.front.map(|_| DataPlane::new(&settings, Rc::new(pool::Tcp), log.clone()));
     let agent =
         Agent::new(settings.clone(), me, register, plane.clone(), Rc::new(links::Sockets), log.clone());
     agent.recall(recalled);
