What a server's answer counts for is judged in one place, and by its own word only

Change: pool::judge. An answer counts with one id, a body whose end it tells itself, one seal, no coding; that a request did not run is believed only of a failure; a status that promises it is never handed on without the server's word.

--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -11,6 +11,7 @@
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -169,6 +170,56 @@
     kept.checked_sub(IDLE_MARGIN).filter(|kept| !kept.is_zero())
 }
 
+/// The value of a header that stands there once; none if it does not, or more than once.
+fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
+/// Whether the answer itself tells where its body ends. One that ends with its connection looks whole wherever it
+/// breaks off.
+fn tells_its_end(headers: &HeaderMap, body: &Incoming) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|codings| codings.to_str().ok()?.rsplit(',').next());
+    let chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    chunked || body.size_hint().exact().is_some()
+}
+
+/// Statuses that promise clients that their request has not run and never will.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// What a whole answer to this request counts for. That the request did not run is only ever the server's word, given
+/// with a failure: 421, or `Not-Executed`.
+fn judge(answer: Answer) -> Result<Answer, CallError> {
+    let (status, headers) = (answer.status, &answer.headers);
+    let fails = status.is_client_error() || status.is_server_error();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(CallError::OtherServer);
+    }
+    if headers.contains_key(NOT_EXECUTED) {
+        return Err(match fails {
+            true => CallError::TurnedAway { status: status.as_u16() },
+            false => CallError::Unusable { what: "a success that did not run" },
+        });
+    }
+    if is_promise(status) {
+        return Err(CallError::Failed { status: status.as_u16() });
+    }
+    let sealed = only(headers, &SERVER_SEAL).is_some_and(|seal| !seal.is_empty());
+    if status.is_success() && (headers.contains_key(header::CONTENT_ENCODING) || !sealed) {
+        return Err(CallError::Unusable { what: "not the body of the server" });
+    }
+    Ok(answer)
+}
+
 impl Target {
     /// The connection that fell idle last. A server may have forgotten one that has stood for a while, and then
     /// resets what is sent on it: what must not run twice would be lost, so it takes only one just used.
@@ -253,29 +304,23 @@
             }
         };
         let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            return Err(CallError::Unusable { what: "another protocol" });
+        }
         // A surplus answer to an earlier request stands where this one's is due.
-        if head.headers.get(ATTEMPT_ID) != Some(&asked.attempt) {
+        if only(&head.headers, &ATTEMPT_ID) != Some(&asked.attempt) {
             bump(&pool.counters.foreign);
             return Err(CallError::Unusable { what: "an answer to another request" });
         }
+        if !tells_its_end(&head.headers, &body) {
+            return Err(CallError::Unusable { what: "an answer that does not tell where it ends" });
+        }
         let collected = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
         let body = collected.map_err(|_| CallError::TimedOut)?.map_err(|_| CallError::Broken)?.to_bytes();
         if let Some(kept) = kept_for(&head.headers) {
             self.give_back(sender, kept);
         }
-        let answer = Answer { status: head.status, headers: head.headers, body };
-        let status = answer.status.as_u16();
-        if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(CallError::OtherServer);
-        }
-        if answer.headers.contains_key(NOT_EXECUTED) {
-            return Err(CallError::TurnedAway { status });
-        }
-        let encoded = answer.headers.contains_key(header::CONTENT_ENCODING);
-        if answer.status.is_success() && (encoded || !answer.headers.contains_key(SERVER_SEAL)) {
-            return Err(CallError::Unusable { what: "not the body of the server" });
-        }
-        Ok(answer)
+        judge(Answer { status: head.status, headers: head.headers, body })
     }
 }
 
