A request goes to a server again on a connection that has not carried it

Cause: a surplus answer to the first call bears the second call's id too. Change: a request knows the servers it was sent to; to one of those it goes on a new connection.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -151,6 +151,7 @@
         body,
         attempt,
         once: !route.repeatable,
+        sent_to: RefCell::default(),
     };
     door.busy.set(door.busy.get() + 1);
     let (query, reply) = plane.ask(&route, asked, came + deadline);
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -2,7 +2,7 @@
 //! server than this gatherer's part of what it takes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -73,6 +73,8 @@
     pub attempt: HeaderValue,
     /// It must not run twice, so nothing that breaks off can be sent again.
     pub once: bool,
+    /// Servers that it was sent to.
+    pub sent_to: RefCell<BTreeSet<Rc<str>>>,
 }
 
 /// A server's whole answer to this request.
@@ -277,7 +279,10 @@
     /// Sends a request and reads the answer whole.
     async fn send(self: &Rc<Self>, asked: &Asked, limit: Duration, pool: &Pool) -> Result<Answer, CallError> {
         let until = Instant::now() + limit;
-        let mut sender = match self.take_idle(asked.once) {
+        // A connection that has carried it may still bring a surplus answer to that call, under the same id.
+        let first = asked.sent_to.borrow_mut().insert(self.id.clone());
+        let idle = if first { self.take_idle(asked.once) } else { None };
+        let mut sender = match idle {
             Some(sender) => {
                 bump(&pool.counters.reused);
                 sender
