Scripted servers do everything wrong in drawn order, and clients check whose answer they got

Cause: answers for the wrong caller and calls sent twice were tested case by case only. Time is counted, nothing waited for.

--- /dev/null
+++ b/crates/node/tests/scripted/mod.rs
@@ -0,0 +1,229 @@
+//! A gateway as it serves, between clients and servers that are played: the connections, the ledger of what was asked,
+//! run and answered, and the whole that is put together from them.
+
+pub mod client;
+pub mod server;
+pub mod wire;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashvane_gossip::{Heartbeat, State};
+use ashvane_node::agent::{Agent, Put, TICK};
+use ashvane_node::data_plane::DataPlane;
+use ashvane_node::disk::{Disk, Whole};
+use ashvane_node::front::Door;
+use ashvane_node::links::{Dialled, Net};
+use ashvane_node::program::{node, replica};
+use ashvane_node::register::Register;
+use ashvane_node::settings::Settings;
+use slog::{Discard, Logger, o};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use server::{Server, Servers};
+
+pub const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// The services, and how many servers each has.
+const SERVICES: [(&str, usize); 5] = [("s", 5), ("lone", 1), ("a", 2), ("b", 2), ("c", 2)];
+/// How many records the gathered answer has.
+pub const TOP: usize = 5;
+/// Time in which what is left over at the end comes to its end.
+const AFTERMATH: Duration = ms(3000);
+
+/// What was done how often.
+pub type Counts = BTreeMap<&'static str, u32>;
+
+/// A request as its client sent it, and what servers made of it.
+pub struct Asked {
+    pub method: &'static str,
+    pub target: String,
+    pub body: Vec<u8>,
+    /// It must not run twice.
+    pub once: bool,
+    /// Its client has sent all of it.
+    pub whole: bool,
+    pub runs: u32,
+    /// Servers that have read it and still owe its answer, on connections that are sound.
+    pub at_work: u32,
+    /// What servers did with it, in their order.
+    pub deeds: Vec<&'static str>,
+    /// Its client was told that it has not run and never will.
+    pub promised: bool,
+}
+
+/// An answer that a server has given, under its seal.
+pub struct Sealed {
+    pub attempt: String,
+    pub service: &'static str,
+    pub body: Vec<u8>,
+    /// A success, in the server's own words.
+    pub success: bool,
+}
+
+/// All that clients and servers know together, and what was found wrong.
+#[derive(Default)]
+pub struct Ledger {
+    pub asked: BTreeMap<String, Asked>,
+    pub sealed: BTreeMap<String, Sealed>,
+    pub wrongs: Vec<String>,
+    pub counts: Counts,
+}
+
+impl Ledger {
+    pub fn wrong(&mut self, what: impl Into<String>) {
+        self.wrongs.push(what.into());
+    }
+
+    pub fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    pub fn did(&mut self, attempt: &str, deed: &'static str) {
+        self.asked.get_mut(attempt).into_iter().for_each(|asked| asked.deeds.push(deed));
+    }
+
+    /// A server runs this.
+    pub fn run(&mut self, attempt: &str) {
+        let Some(asked) = self.asked.get_mut(attempt) else { return };
+        asked.runs += 1;
+        let (twice, promised) = (asked.once && asked.runs > 1, asked.promised);
+        if twice {
+            self.wrong(format!("TWICE: {attempt} has run again"));
+        }
+        if promised {
+            self.wrong(format!("REFUSED: {attempt} runs after the promise that it never will"));
+        }
+    }
+}
+
+/// The gateway and all around it.
+pub struct World {
+    pub agent: Rc<Agent>,
+    pub plane: Rc<DataPlane>,
+    pub door: Rc<Door>,
+    pub ledger: Rc<RefCell<Ledger>>,
+    servers: Rc<Servers>,
+    /// Until the end, servers do as they are drawn.
+    trouble: Rc<Cell<bool>>,
+}
+
+/// No other processes are there.
+struct Nobody;
+
+impl Net for Nobody {
+    fn dial(&self, _address: String) -> Dialled {
+        Box::pin(async { None })
+    }
+}
+
+fn settings() -> Settings {
+    let text = "node = \"one\"\nip = \"10.0.0.1\"\nzone = \"z\"\ninternal-ports = [7080, 7080]\nbootstrap = true\n\
+                seed-nodes = [\"10.0.0.1:8047\"]\nbeat-interval-ms = 3600000\ndata-dir = \"-\"\n\
+                [listen]\ncontrol = \"10.0.0.1:8047\"\nfront = \"10.0.0.1:8043\"\n\
+                [bounds]\nretry-ratio = 1.0\nretry-slack = 1000000.0\n";
+    Settings::parse(text, "-").expect("settings")
+}
+
+fn configuration() -> String {
+    let route = |name: &str, kind: &str, target: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"h.example","path-prefix":"/{name}/","kind":"{kind}","deadline-ms":2000,
+                "target-ms":200,{target},"max-tries":3}}"#
+        )
+    };
+    let routes = [
+        route("one", "idempotent", r#""service":"s""#),
+        route("once", "non_idempotent", r#""service":"s""#),
+        route("lone", "non_idempotent", r#""service":"lone""#),
+        route("all", "idempotent", &format!(r#""fan-out":["a","b","c"],"top-k":{TOP},"min-coverage":0.3"#)),
+    ];
+    let services = SERVICES.map(|(name, _)| format!(r#"{{"name":"{name}","max-conns":512}}"#));
+    format!(r#"{{"version":1,"routes":[{}],"services":[{}]}}"#, routes.join(","), services.join(","))
+}
+
+/// A disk that keeps all in a moment.
+fn disk() -> Disk {
+    let (disk, inbox) = Disk::new();
+    spawn_local(async move {
+        let mut whole = Whole::default();
+        loop {
+            sleep(ms(1)).await;
+            let Some(mut wanted) = inbox.take() else { continue };
+            wanted.onto(&mut whole);
+            wanted.is_safe();
+        }
+    });
+    disk
+}
+
+impl World {
+    pub async fn start(seed: u64) -> Rc<World> {
+        fastrand::seed(seed);
+        let (settings, log) = (settings(), Logger::root(Discard, o!()));
+        let (ledger, trouble) = (Rc::<RefCell<Ledger>>::default(), Rc::new(Cell::new(true)));
+        let servers = Rc::new(Servers::default());
+        let plane = DataPlane::new(&settings, servers.clone(), log.clone());
+        let disk = disk();
+        let replica = replica(&settings, &disk, Whole::default().found(), &log).await;
+        let name = replica.kept().disk.clone();
+        let register = Register::new(replica, disk, 1);
+        let me = node(&settings, 1, "10.0.0.1:7080".to_owned(), Some(name));
+        let agent = Agent::new(settings, me, Some(register), Some(plane.clone()), Rc::new(Nobody), log);
+        agent.tick();
+        let put = agent.put(configuration().as_bytes()).await;
+        assert!(matches!(put, Put::Held(1)), "the configuration is in force");
+        let mut rng = fastrand::Rng::with_seed(seed);
+        for (service, count) in SERVICES {
+            for n in 0..count {
+                let server = Server::start(service, n, rng.fork(), ledger.clone(), trouble.clone());
+                let beat = Heartbeat {
+                    id: server.id.clone(),
+                    service: service.to_owned(),
+                    address: server.address.clone(),
+                    zone: "z".to_owned(),
+                    capacity: 8,
+                    state: State::Ready,
+                    seq: 1,
+                };
+                servers.is_there(server);
+                assert!(agent.beat(beat).await, "the server is known");
+            }
+        }
+        let ticking = agent.clone();
+        spawn_local(async move {
+            loop {
+                sleep(TICK).await;
+                ticking.tick();
+            }
+        });
+        Rc::new(World { agent, plane, door: Rc::default(), ledger, servers, trouble })
+    }
+
+    /// Nothing is left open or owed, and no promise was broken after all.
+    pub async fn check_at_the_end(&self) {
+        self.trouble.set(false);
+        sleep(AFTERMATH).await;
+        self.servers.close_all();
+        sleep(ms(100)).await;
+        let mut ledger = self.ledger.borrow_mut();
+        let broken: Vec<String> =
+            ledger.asked.iter().filter(|(_, a)| a.promised && a.runs > 0).map(|(id, _)| id.clone()).collect();
+        broken.into_iter().for_each(|id| ledger.wrong(format!("REFUSED: {id} was promised not to run")));
+        let open = self.plane.open_connections();
+        if open > 0 {
+            ledger.wrong(format!("{open} connections to servers are counted though none is open"));
+        }
+    }
+}
+
+/// Plays on one thread, with time that is counted.
+pub fn play<F: Future>(world: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), world)
+}
