An answer between own processes counts only on the link that was asked

Cause: receipts (Got) and configurations (Config) were taken from any link of any life, whether asked for there or not. Change: each link knows what was asked on it and not answered; links::run hands on no other answer, and counts it (unasked). At most 1,024 receipts are remembered on a link.

--- a/crates/node/src/agent/report.rs
+++ b/crates/node/src/agent/report.rs
@@ -66,7 +66,7 @@
         info!(self.log, "counters"; "nodes" => directory.nodes().filter(|n| !n.down).count(),
             "servers" => directory.servers().filter(|s| s.state < State::Gone).count(),
             "links" => links.iter().count(), "version" => self.version(), "epoch" => directory.membership().epoch,
-            "lines_in" => c.lines_in, "unread" => c.unread, "lost" => c.lost,
+            "lines_in" => c.lines_in, "unread" => c.unread, "unasked" => c.unasked, "lost" => c.lost,
             "said" => c.out.iter().map(|(cause, (lines, bytes))| format!("{cause}:{lines}:{bytes}"))
                 .collect::<Vec<_>>().join(","));
         if let Some(plane) = &self.plane {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections between the system's own processes: JSON lines both ways, each answered or compared in time.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -101,6 +101,46 @@
     }
 }
 
+/// Receipts that are awaited on one link at a time; a peer that gives none must not make memory grow.
+const RECEIPTS_MOST: usize = 1024;
+
+/// What was asked on a link and has not been answered. An answer counts only on the link that it was asked for on, and
+/// so from the life that was asked: each connection is to one life. Responses of the register are bound there in the
+/// same way; all else says itself how new it is.
+#[derive(Default)]
+struct Awaited {
+    receipts: BTreeSet<u64>,
+    configurations: u32,
+}
+
+impl Awaited {
+    fn asked(&mut self, message: &Message) {
+        match message {
+            Message::Update { number, .. } if *number > 0 => {
+                self.receipts.insert(*number);
+                if self.receipts.len() > RECEIPTS_MOST {
+                    self.receipts.pop_first();
+                }
+            }
+            Message::Want { .. } => self.configurations = self.configurations.saturating_add(1),
+            _ => {}
+        }
+    }
+
+    /// Whether this is no answer, or one that is awaited here; it is no longer then.
+    fn admits(&mut self, message: &Message) -> bool {
+        match message {
+            Message::Got { number } => self.receipts.remove(number),
+            Message::Config(_) => {
+                let awaited = self.configurations > 0;
+                self.configurations = self.configurations.saturating_sub(1);
+                awaited
+            }
+            _ => true,
+        }
+    }
+}
+
 /// One connection as its owner sees it.
 pub struct Link {
     pub peer: Node,
@@ -113,6 +153,7 @@
     pub fed: bool,
     /// How many times in a row its digest differed.
     pub differs: u32,
+    awaited: Awaited,
 }
 
 /// Counters of what was said.
@@ -122,6 +163,8 @@
     pub out: BTreeMap<&'static str, (u64, u64)>,
     pub lines_in: u64,
     pub unread: u64,
+    /// Answers that nobody had asked for where they came.
+    pub unasked: u64,
     pub lost: u64,
 }
 
@@ -175,10 +218,11 @@
         self.send_all(&[number], line);
     }
 
-    fn send_text(&mut self, number: u64, text: Rc<str>, cause: &'static str) {
-        let Some(link) = self.links.get(&number) else { return };
-        let (lines, bytes) = self.counters.out.entry(cause).or_default();
+    fn send_text(&mut self, number: u64, text: Rc<str>, line: &Message) {
+        let Some(link) = self.links.get_mut(&number) else { return };
+        let (lines, bytes) = self.counters.out.entry(line.cause()).or_default();
         (*lines, *bytes) = (*lines + 1, *bytes + text.len() as u64);
+        link.awaited.asked(line);
         if link.lines.try_send(text).is_err() {
             self.close(number);
         }
@@ -190,7 +234,7 @@
             return;
         }
         let Some(text) = written(line) else { return };
-        numbers.iter().for_each(|number| self.send_text(*number, text.clone(), line.cause()));
+        numbers.iter().for_each(|number| self.send_text(*number, text.clone(), line));
     }
 }
 
@@ -257,7 +301,16 @@
     };
     let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
     let now = Instant::now();
-    let link = Link { peer, ours, since: now, lines, heard: now, fed: false, differs: 0 };
+    let link = Link {
+        peer,
+        ours,
+        since: now,
+        lines,
+        heard: now,
+        fed: false,
+        differs: 0,
+        awaited: Awaited::default(),
+    };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
     let reading = async {
@@ -269,15 +322,20 @@
             if bytes.capacity() > 64 * 1024 {
                 bytes = Vec::new();
             }
-            {
+            let admitted = {
                 let mut links = listener.links().borrow_mut();
                 links.counters.lines_in += 1;
                 links.counters.unread += u64::from(read.is_none());
                 let Some(link) = links.get_mut(number) else { return };
                 link.heard = Instant::now();
-            }
+                let admitted = read.as_ref().is_none_or(|line| link.awaited.admits(line));
+                links.counters.unasked += u64::from(!admitted);
+                admitted
+            };
             let Some(line) = read else { return };
-            listener.heard(number, line);
+            if admitted {
+                listener.heard(number, line);
+            }
         }
     };
     let writing = async {
--- a/crates/node/tests/scripted/mod.rs
+++ b/crates/node/tests/scripted/mod.rs
@@ -171,7 +171,7 @@
         let plane = DataPlane::new(&settings, servers.clone(), log.clone());
         let disk = disk();
         let replica = replica(&settings, &disk, Whole::default().found(), &log).await;
-        let name = replica.kept().disk.clone();
+        let name = replica.state().disk.clone();
         let register = Register::new(replica, disk, 1);
         let me = node(&settings, 1, "10.0.0.1:7080".to_owned(), Some(name));
         let agent = Agent::new(settings, me, Some(register), Some(plane.clone()), Rc::new(Nobody), log);
