A client's request has one Attempt-Id, and goes on by its path alone

Cause: with two ids the first was compared and both were handed on, so a server's answer might bear the other; a request line with a host (absolute form) was handed on as it stood, which only a proxy is sent. Change: two ids are answered 400 like none; servers are named by path and query. Tests: serving, with one more for promises that a server has not made (503, 429, 408 without Not-Executed; Not-Executed beside a success), over sockets.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use axum::http::{HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use axum::http::{HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -19,7 +19,7 @@
 use crate::agent::Agent;
 use crate::config::{Config, Limits};
 use crate::data_plane::{DataPlane, Reply};
-use crate::pool::{ATTEMPT_ID, Asked, Stream, drop_hop_headers};
+use crate::pool::{ATTEMPT_ID, Asked, Stream, drop_hop_headers, only};
 
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
 const PART_SEALS: HeaderName = HeaderName::from_static("part-seals");
@@ -134,8 +134,8 @@
     let Some(route) = config.route(host, head.uri.path()).cloned() else {
         return say(StatusCode::NOT_FOUND, "no route\n");
     };
-    let Some(attempt) = head.headers.get(ATTEMPT_ID).cloned() else {
-        return say(StatusCode::BAD_REQUEST, "Attempt-Id is missing\n");
+    let Some(attempt) = only(&head.headers, &ATTEMPT_ID).cloned() else {
+        return say(StatusCode::BAD_REQUEST, "one Attempt-Id is needed\n");
     };
     let stated = head.headers.get(DEADLINE_MS).and_then(|d| d.to_str().ok()?.parse::<u64>().ok());
     let deadline = stated.map_or(route.deadline, |ms| Duration::from_millis(ms).min(route.deadline));
@@ -146,7 +146,8 @@
     drop_hop_headers(&mut head.headers);
     let asked = Asked {
         method: head.method,
-        uri: head.uri,
+        // Servers are named by their path alone, though a client may name the host with it.
+        uri: head.uri.path_and_query().cloned().map_or(head.uri, Uri::from),
         headers: head.headers,
         body,
         attempt,
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -173,7 +173,7 @@
 }
 
 /// The value of a header that stands there once; none if it does not, or more than once.
-fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+pub fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
     let mut values = headers.get_all(name).iter();
     values.next().filter(|_| values.next().is_none())
 }
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -53,6 +53,42 @@
     });
 }
 
+/// A server gives one id back: with two in the request, the answer could not be told.
+#[test]
+fn a_request_has_one_id_and_a_path() {
+    run(async {
+        let (hall, servers) = one_service("one-id", "idempotent", vec![well("a")]).await;
+        let head = "GET http://h.example/r/x?q=1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\n";
+        let two = ask(hall.front, &format!("{head}Attempt-Id: 2\r\n\r\n")).await.expect("an answer");
+        assert_eq!((two.status(), servers[0].got.borrow().len()), (400, 0));
+        let one = ask(hall.front, &format!("{head}\r\n")).await.expect("an answer");
+        assert_eq!((one.status(), one.header("server-seal")), (200, "a"));
+        assert_eq!(servers[0].got.borrow()[0].first, "GET /r/x?q=1 HTTP/1.1");
+    });
+}
+
+/// A promise that a request has not run is the server's to make: `Not-Executed`, and with a failure.
+#[test]
+fn a_promise_without_the_servers_word_is_not_handed_on() {
+    run(async {
+        for (n, (status, headers)) in [
+            ("503 Ill", ""),
+            ("429 Many", ""),
+            ("408 Late", ""),
+            ("200 OK", "Not-Executed: 1\r\nServer-Seal: a\r\n"),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let ran = move |request: &Message| (answer(request, status, headers, b"it ran"), false);
+            let (hall, servers) =
+                one_service(&format!("no-word-{n}"), "non_idempotent", vec![Box::new(ran)]).await;
+            assert_eq!(hall.get("/r/x", "1").await.status(), 502, "{status}");
+            assert_eq!(servers[0].got.borrow().len(), 1, "{status}: it does not go again");
+        }
+    });
+}
+
 #[test]
 fn without_a_configuration_clients_are_asked_back() {
     run(async {
