--- a/crates/node/tests/callers.rs
+++ b/crates/node/tests/callers.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use scripted::client::client;
-use scripted::{World, play};
+use scripted::{World, ms, play};
 use tokio::task::spawn_local;
 
 /// Clients of a day, and what each of them asks for.
@@ -25,6 +25,11 @@
     let world = World::start(seed).await;
     let clients: Vec<_> =
         (0..CLIENTS).map(|n| spawn_local(client(world.clone(), n, seed, EXCHANGES))).collect();
+    // On every second day the gateway is told to end meanwhile.
+    if seed % 2 == 1 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        world.leave(ms(rng.u64(..1500)), ms(rng.u64(..400))).await;
+    }
     for client in clients {
         client.await.expect("a client does not panic");
     }
--- a/crates/node/tests/scripted/client.rs
+++ b/crates/node/tests/scripted/client.rs
@@ -120,7 +120,15 @@
 
 /// Stays for a while where no answer is due.
 async fn rest(world: &World, rng: &mut fastrand::Rng, mut wire: Wire) -> Option<Wire> {
-    let time = if rng.u32(..3) == 0 { ms(rng.u64(..400)) } else { ms(0) };
+    let time = match rng.u32(..3) {
+        0 => ms(rng.u64(..400)),
+        1 => ms(0),
+        // Whatever stands there is read as the next answer, and an end is not seen before the next request.
+        _ => {
+            sleep(ms(rng.u64(..200))).await;
+            return Some(wire);
+        }
+    };
     let mut bytes = [0; 64];
     match timeout(time, wire.read(&mut bytes)).await {
         Err(_) => Some(wire),
@@ -137,13 +145,22 @@
 async fn exchange(world: &World, wire: &mut Wire, draft: &Draft) -> bool {
     say_whole(world, draft);
     let began = Instant::now();
-    if wire.write_all(&draft.bytes).await.is_err() {
-        world.ledger.borrow_mut().wrong(format!("{}: the connection was closed before", draft.attempt));
-        return false;
-    }
+    let leaving = world.agent.is_leaving();
+    // One that leaves may close a connection that rests: what has not been read goes nowhere.
+    let written = wire.write_all(&draft.bytes).await;
     let answer = timeout(draft.deadline + SLACK, wire.message()).await;
     let mut ledger = world.ledger.borrow_mut();
     ledger.count("client: asked");
+    if (written.is_err() || matches!(answer, Ok(Err(Fault::Ended)))) && world.agent.is_leaving() {
+        ledger.count("client: closed by one that leaves");
+        let asked = ledger.asked.get_mut(&draft.attempt).expect("it is asked");
+        // It may be sent again elsewhere, as after a promise.
+        asked.promised = true;
+        if !asked.deeds.is_empty() {
+            ledger.wrong(format!("LOST: {} was handed on and has no answer", draft.attempt));
+        }
+        return false;
+    }
     match answer {
         Err(_) => ledger.wrong(format!("{}: no answer in its time", draft.attempt)),
         Ok(Err(Fault::Nonsense(what))) => ledger.wrong(format!("MIXED: {} got {what}", draft.attempt)),
@@ -155,7 +172,11 @@
                 let what = format!("{why}: {target} got {:?} after {deeds:?}", answer.first);
                 ledger.wrong(what);
             }
-            return answer.header("connection") != Some("close");
+            let goes_on = answer.header("connection") != Some("close");
+            if leaving && goes_on {
+                ledger.wrong(format!("LEAVES: {} is not told to come no more", draft.attempt));
+            }
+            return goes_on;
         }
     }
     false
--- a/crates/node/tests/scripted/mod.rs
+++ b/crates/node/tests/scripted/mod.rs
@@ -205,6 +205,14 @@
         Rc::new(World { agent, plane, door: Rc::default(), ledger, servers, trouble })
     }
 
+    /// Ends in order while clients go on, as a process does on SIGTERM.
+    pub async fn leave(&self, after: Duration, closes_after: Duration) {
+        sleep(after).await;
+        self.agent.leave();
+        sleep(closes_after).await;
+        self.door.close();
+    }
+
     /// Nothing is left open or owed, and no promise was broken after all.
     pub async fn check_at_the_end(&self) {
         self.trouble.set(false);
@@ -216,6 +224,9 @@
             ledger.asked.iter().filter(|(_, a)| a.promised && a.runs > 0).map(|(id, _)| id.clone()).collect();
         broken.into_iter().for_each(|id| ledger.wrong(format!("REFUSED: {id} was promised not to run")));
         let open = self.plane.open_connections();
+        if self.door.open() + self.door.busy() > 0 {
+            ledger.wrong("OPEN: clients' connections are counted though all have left");
+        }
         if open > 0 {
             ledger.wrong(format!("{open} connections to servers are counted though none is open"));
         }
