--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections between the system's own processes: JSON lines both ways, each answered or compared in time.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,8 +37,11 @@
         number: u64,
         updates: Vec<Update>,
     },
+    /// The answer: whether they are in force there, and the epoch of the membership that is known there.
     Got {
         number: u64,
+        taken: bool,
+        epoch: u64,
     },
     Digest(Digest),
     /// Where digests differ: those of each part.
@@ -61,6 +64,15 @@
         number: u64,
         response: Response,
     },
+    /// A gateway that starts asks a control node to compare itself with a majority of the members.
+    Verify {
+        number: u64,
+    },
+    /// The answer, after a read of the register that began after the question: what is known there now.
+    Verified {
+        number: u64,
+        digest: Digest,
+    },
     /// Another line, deflated: where many entries go at once they are much alike.
     Packed(String),
 }
@@ -75,6 +87,7 @@
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
             Message::Request { .. } | Message::Response { .. } => "register",
+            Message::Verify { .. } | Message::Verified { .. } => "readiness",
             Message::Packed(_) => "packed",
         }
     }
@@ -101,46 +114,6 @@
     }
 }
 
-/// Receipts that are awaited on one link at a time; a peer that gives none must not make memory grow.
-const RECEIPTS_MOST: usize = 1024;
-
-/// What was asked on a link and has not been answered. An answer counts only on the link that it was asked for on, and
-/// so from the life that was asked: each connection is to one life. Responses of the register are bound there in the
-/// same way; all else says itself how new it is.
-#[derive(Default)]
-struct Awaited {
-    receipts: BTreeSet<u64>,
-    configurations: u32,
-}
-
-impl Awaited {
-    fn asked(&mut self, message: &Message) {
-        match message {
-            Message::Update { number, .. } if *number > 0 => {
-                self.receipts.insert(*number);
-                if self.receipts.len() > RECEIPTS_MOST {
-                    self.receipts.pop_first();
-                }
-            }
-            Message::Want { .. } => self.configurations = self.configurations.saturating_add(1),
-            _ => {}
-        }
-    }
-
-    /// Whether this is no answer, or one that is awaited here; it is no longer then.
-    fn admits(&mut self, message: &Message) -> bool {
-        match message {
-            Message::Got { number } => self.receipts.remove(number),
-            Message::Config(_) => {
-                let awaited = self.configurations > 0;
-                self.configurations = self.configurations.saturating_sub(1);
-                awaited
-            }
-            _ => true,
-        }
-    }
-}
-
 /// One connection as its owner sees it.
 pub struct Link {
     pub peer: Node,
@@ -153,7 +126,38 @@
     pub fed: bool,
     /// How many times in a row its digest differed.
     pub differs: u32,
-    awaited: Awaited,
+    /// All that the other side knew has been taken in once, since its last answer to a question where it was asked.
+    pub compared: bool,
+    /// The other side has said that it is in contact with no majority of the members.
+    pub alone: bool,
+    /// The question whether the other side is in contact with a majority: its number, and when it was asked.
+    pub verifying: Option<(u64, Instant)>,
+    /// The version that was in force there when it had compared itself with a majority, after that question.
+    pub verified: Option<u64>,
+    /// Configurations that were asked for here and have not come.
+    wanted: u32,
+}
+
+impl Link {
+    fn asked(&mut self, message: &Message) {
+        self.wanted = self.wanted.saturating_add(u32::from(matches!(message, Message::Want { .. })));
+    }
+
+    /// A configuration counts only on the link that it was asked for on, and so from the life that was asked: each
+    /// connection is to one life. Other answers are bound to their links by whoever asks.
+    fn admits(&mut self, message: &Message) -> bool {
+        if !matches!(message, Message::Config(_)) {
+            return true;
+        }
+        let wanted = self.wanted > 0;
+        self.wanted = self.wanted.saturating_sub(1);
+        wanted
+    }
+
+    /// Whether something was heard of late. After a standstill a connection may still be open that is long dead.
+    pub fn is_heard(&self) -> bool {
+        self.heard.elapsed() < SILENT
+    }
 }
 
 /// Counters of what was said.
@@ -222,7 +226,7 @@
         let Some(link) = self.links.get_mut(&number) else { return };
         let (lines, bytes) = self.counters.out.entry(line.cause()).or_default();
         (*lines, *bytes) = (*lines + 1, *bytes + text.len() as u64);
-        link.awaited.asked(line);
+        link.asked(line);
         if link.lines.try_send(text).is_err() {
             self.close(number);
         }
@@ -309,7 +313,11 @@
         heard: now,
         fed: false,
         differs: 0,
-        awaited: Awaited::default(),
+        compared: false,
+        alone: false,
+        verifying: None,
+        verified: None,
+        wanted: 0,
     };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
@@ -328,7 +336,7 @@
                 links.counters.unread += u64::from(read.is_none());
                 let Some(link) = links.get_mut(number) else { return };
                 link.heard = Instant::now();
-                let admitted = read.as_ref().is_none_or(|line| link.awaited.admits(line));
+                let admitted = read.as_ref().is_none_or(|line| link.admits(line));
                 links.counters.unasked += u64::from(!admitted);
                 admitted
             };
@@ -372,12 +380,15 @@
 
 #[cfg(test)]
 mod tests {
+    use ashvane_gossip::{ServerRank, Silence, State};
+
     use super::*;
 
     #[test]
     fn long_lines_are_packed_and_read_as_they_were() {
+        let rank = |seq| ServerRank { state: State::Ready, seq, silence: Silence::Heard };
         let summary = Summary {
-            servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_gossip::State::Ready, n, false))).collect(),
+            servers: (0..100).map(|n| (format!("i-{n}"), rank(n))).collect(),
             ..Summary::default()
         };
         for (line, packed) in [(Message::Summary(summary), true), (Message::Feed(true), false)] {
