--- a/crates/node/tests/confirmation.rs
+++ b/crates/node/tests/confirmation.rs
@@ -62,16 +62,26 @@
 
 #[test]
 fn across_a_change_both_memberships_need_their_majority() {
-    let (mut confirmation, mut confirmed) = begin(membership(1, "abc"), own("a"));
-    confirmation.ask(&links("bcdefg"));
-    confirmation.membership_changed(membership(2, "aefg"));
-    assert_eq!(confirmation.ask(&links("bcdefg")), [4, 5, 6], "the new members are asked as well");
+    // Links 1 and 2 reach the other members of the old one, 4 to 6 those of the new one.
+    let begun = || {
+        let (mut confirmation, confirmed) = begin(membership(1, "abc"), own("a"));
+        assert_eq!(confirmation.ask(&links("bcdefg")), [1, 2]);
+        confirmation.membership_changed(membership(2, "aefg"));
+        assert_eq!(confirmation.ask(&links("bcdefg")), [4, 5, 6], "the new members are asked as well");
+        (confirmation, confirmed)
+    };
+    let (mut confirmation, mut confirmed) = begun();
     confirmation.answered(1, true, 1);
     assert!(!is_done(&mut confirmed), "a majority of the old one is not enough");
     confirmation.answered(4, true, 2);
     assert!(!is_done(&mut confirmed), "a and e are two of four");
     confirmation.answered(5, true, 2);
     assert!(is_done(&mut confirmed));
+    let (mut confirmation, mut confirmed) = begun();
+    (4..=6).for_each(|link| confirmation.answered(link, true, 2));
+    assert!(!is_done(&mut confirmed), "all of the new one are not enough");
+    confirmation.answered(2, true, 1);
+    assert!(is_done(&mut confirmed));
 }
 
 #[test]
