--- a/crates/node/tests/cut_off.rs
+++ b/crates/node/tests/cut_off.rs
@@ -123,6 +123,7 @@
             control_nodes[1..].iter().for_each(|other| isolate(&simulation, &control_nodes[0], other));
             sleep(before).await;
             assert!(put(&simulation.all()[1], 2).await);
+            assert!(beat(&simulation.all()[1], "i-1", State::Ready, 1).await);
             let gateways = simulation.all().split_off(5);
             gateways.iter().for_each(|gateway| restart(&simulation, gateway));
             let began = Instant::now();
@@ -131,6 +132,7 @@
                 assert!(began.elapsed() < ms(2500), "no word from those that are in contact");
                 for gateway in gateways.iter().filter(|gateway| is_current(gateway)) {
                     assert_eq!(version(gateway), 2, "{} after {:?}", gateway.name, began.elapsed());
+                    assert!(offers(gateway, "i-1"), "{} after {:?}", gateway.name, began.elapsed());
                 }
             }
             println!("cut off for {before:?}: all three are ready after {:?}", began.elapsed());
@@ -138,6 +140,84 @@
     }
 }
 
+/// Those that are in contact stand still at some moment while it starts: what they have named it must still have.
+#[test]
+fn a_gateway_has_the_version_that_it_was_named_before_it_is_ready() {
+    play(async {
+        let simulation = started().await;
+        let all = simulation.all();
+        let (alone, gateway) = (all[0].clone(), all[5].clone());
+        let others: Vec<_> =
+            all.iter().filter(|m| m.name != alone.name && m.name != gateway.name).cloned().collect();
+        others.iter().for_each(|other| isolate(&simulation, &alone, other));
+        sleep(ms(5000)).await;
+        for moment in (10..60).step_by(2) {
+            gateway.kill(&simulation.network);
+            assert!(put(&all[1], moment).await);
+            gateway.start(&simulation.network, false);
+            sleep(ms(moment)).await;
+            others.iter().for_each(|other| other.freeze(true));
+            sleep(ms(1000)).await;
+            assert!(!is_current(&gateway) || version(&gateway) == moment, "{moment} ms after its start");
+            others.iter().for_each(|other| other.freeze(false));
+            sleep(ms(5000)).await;
+            assert!(is_current(&gateway) && version(&gateway) == moment);
+        }
+    });
+}
+
+#[test]
+fn who_was_cut_off_speaks_for_a_majority_only_once_it_has_caught_up() {
+    play(async {
+        let simulation = started().await;
+        let all = simulation.all();
+        let (back, gateway) = (all[0].clone(), all[5].clone());
+        assert!(beat(&all[1], "i-1", State::Ready, 1).await);
+        sleep(ms(2000)).await;
+        // The gateway never reaches anybody else.
+        let part = || {
+            let beyond = all.iter().filter(|m| m.name != back.name && m.name != gateway.name);
+            beyond.for_each(|other| isolate(&simulation, &gateway, other));
+        };
+        simulation.network.cut([back.ip.clone(), gateway.ip.clone()]);
+        sleep(ms(5000)).await;
+        assert!(beat(&all[1], "i-1", State::Draining, 2).await);
+        sleep(ms(5000)).await;
+        simulation.network.mend();
+        part();
+        restart(&simulation, &gateway);
+        let began = Instant::now();
+        while !is_current(&gateway) {
+            sleep(ms(1)).await;
+            assert!(began.elapsed() < ms(5000));
+        }
+        assert!(!offers(&gateway, "i-1"), "ready after {:?} with an old list", began.elapsed());
+    });
+}
+
+#[test]
+fn a_gateway_is_fed_by_one_that_is_in_contact() {
+    play(async {
+        let simulation = started().await;
+        let (all, control_nodes) = (simulation.all(), simulation.control_nodes());
+        for (n, alone) in control_nodes.iter().enumerate() {
+            let others: Vec<_> = control_nodes.iter().filter(|m| m.name != alone.name).collect();
+            let id = format!("i-{}", "1".repeat(n + 1));
+            assert!(beat(others[0], &id, State::Ready, 1).await);
+            sleep(ms(3000)).await;
+            others.iter().for_each(|other| isolate(&simulation, alone, other));
+            // It learns that it is alone, and says so in its next digest.
+            sleep(ms(5000)).await;
+            assert!(beat(others[0], &id, State::Draining, 2).await);
+            sleep(ms(100)).await;
+            let late = all[5..].iter().filter(|m| offers(m, &id)).count();
+            assert_eq!(late, 0, "{} is cut off and feeds", alone.name);
+            simulation.network.mend();
+            sleep(ms(6000)).await;
+        }
+    });
+}
+
 /// Each two of the five in turn: some are the ones that the gateway would choose.
 #[test]
 fn a_gateway_whose_control_nodes_are_all_cut_off_calls_the_others() {
@@ -287,6 +367,30 @@
     });
 }
 
+#[test]
+fn the_duty_of_hearing_is_held_only_once_a_majority_has_taken_the_term_in() {
+    play(async {
+        let simulation = started().await;
+        let all = simulation.all();
+        assert!(beat(&all[3], "i-1", State::Ready, 1).await);
+        sleep(ms(1000)).await;
+        all[3].kill(&simulation.network);
+        // Shortly before the duty is taken all others stand still, which the first one can't know yet.
+        sleep(ms(17_000)).await;
+        assert_eq!(hearing(&all[0]), (0, false));
+        all[1..].iter().for_each(|other| other.freeze(true));
+        let began = Instant::now();
+        while began.elapsed() < ms(5000) {
+            sleep(STEP).await;
+            assert!(!hearing(&all[0]).1 && offers(&all[0], "i-1"), "{:?}", began.elapsed());
+        }
+        assert!(hearing(&all[0]).0 > 0, "it has tried");
+        all[1..].iter().for_each(|other| other.freeze(false));
+        sleep(ms(20_000)).await;
+        assert!(all[5..].iter().all(|m| !offers(m, "i-1")));
+    });
+}
+
 #[test]
 fn a_drain_reaches_a_gateway_in_time_whose_feed_stands_still() {
     play(async {
