--- a/crates/node/src/agent/membership.rs
+++ b/crates/node/src/agent/membership.rs
@@ -103,7 +103,8 @@
         duty::may_end(&me, register.held(), view, self.watch.borrow().limits())
     }
 
-    pub(super) fn has_seats_duty(&self) -> bool {
+    /// Whether the duty over the membership is this process's, as seen from here.
+    pub(super) fn holds_membership(&self) -> bool {
         let (directory, live) = (self.directory.borrow(), self.live_disks());
         let view = View { membership: directory.membership(), live: &live };
         view.holder().is_some_and(|m| Some(&m.disk) == directory.me().disk.as_ref())
--- a/crates/node/src/agent/report.rs
+++ b/crates/node/src/agent/report.rs
@@ -34,12 +34,15 @@
                     "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
             })
             .collect();
-        let membership: Vec<Value> = directory
-            .membership()
-            .members
-            .iter()
-            .map(|s| json!({"disk": s.disk, "address": s.address}))
-            .collect();
+        // What each member has said of its own disk; nothing where it is out of sight, or this is a gateway.
+        let live = self.live_disks();
+        let report = |m: &Member| live.iter().find(|l| l.member.disk == m.disk).and_then(|l| l.report);
+        let member = |m: &Member| {
+            let report = report(m);
+            json!({"disk": m.disk, "address": m.address, "epoch": report.map(|r| r.held.epoch),
+                "version": report.map(|r| r.held.version), "leaving": report.map(|r| r.leaving)})
+        };
+        let membership: Vec<Value> = directory.membership().members.iter().map(member).collect();
         let since = self.in_force_since.get().map(|at| at.elapsed().as_secs());
         let said = self.said().into_iter();
         let said: Vec<Value> = said
@@ -51,7 +54,7 @@
             "configuration": {"version": self.version(), "in force for s": since,
                 "on this disk": self.register.as_ref().and_then(|r| r.stored()).map(|f| f.version)},
             "duties": [
-                {"duty": "set of disks", "epoch": directory.membership().epoch, "held here": self.has_seats_duty()},
+                {"duty": "set of disks", "epoch": directory.membership().epoch, "held here": self.holds_membership()},
                 {"duty": "servers of lost control nodes", "epoch": directory.hearing().epoch,
                     "term": directory.hearing().round, "held here": self.holds_hearing()},
             ],
--- a/crates/node/tests/replacements.rs
+++ b/crates/node/tests/replacements.rs
@@ -118,6 +118,12 @@
         }
     }
 
+    /// These two don't reach each other.
+    fn part(&self, a: &Machine, b: &Machine) {
+        self.simulation.network.sever(&a.ip, &b.ip);
+        self.simulation.network.sever(&b.ip, &a.ip);
+    }
+
     /// Its process is gone, and its disk with it.
     fn wipe(&self, machine: &Machine) {
         machine.kill(&self.simulation.network);
@@ -439,10 +445,10 @@
         for wait in 0..8 {
             let mut world = World::new(5, 1).await;
             let (a, b) = (world.control(0), world.control(1));
-            world.simulation.network.part(&a.ip, &b.ip);
+            world.part(&a, &b);
             world.pass(ms(1000 + wait * 250)).await;
             let new = world.add();
-            world.simulation.network.part(&a.ip, &new.ip);
+            world.part(&a, &new);
             world.put_in_time().await;
             world.pass(CATCH_UP).await;
             world.put_in_time().await;
