--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -4,11 +4,11 @@
 //! There are two stores, written in turn, each with the whole state under a number that rises. What a loss of
 //! power tears is the one that was being written; the other one was synced before and is whole.
 
+mod store;
+
 use std::collections::VecDeque;
 use std::fs::File;
-use std::io;
-use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use ashvane_gossip::Server;
@@ -17,14 +17,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+pub use store::{FileSystem, Medium};
+use store::{Store, StoreError};
+
 const STORES: [&str; 2] = ["cells-a", "cells-b"];
-const KEY: &[u8] = b"cell";
-/// What sled may hold of a store in memory, in bytes: the whole state is smaller.
-const CACHE: u64 = 1 << 20;
-/// The pieces that sled sets its file up in, in bytes: a few states fit into one.
-const SEGMENT: usize = 512 << 10;
-/// Pause before a disk that refused is tried again.
-const AGAIN: std::time::Duration = std::time::Duration::from_millis(200);
 
 /// All that is kept, as it stands in a store.
 #[derive(Clone, Default, Serialize, Deserialize)]
@@ -134,81 +130,6 @@
     serde_json::from_slice(text).ok()
 }
 
-/// Runs what may panic on bytes that it did not expect.
-fn guarded<T>(run: impl FnOnce() -> Result<T, String>) -> Result<T, String> {
-    catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|_| Err("the store is not sound".to_owned()))
-}
-
-/// One of the two stores; none while it has to be opened anew.
-struct Store {
-    dir: PathBuf,
-    db: Option<sled::Db>,
-}
-
-fn sync_all(dir: &Path) -> io::Result<()> {
-    for entry in std::fs::read_dir(dir)? {
-        let path = entry?.path();
-        if path.is_dir() { sync_all(&path)? } else { File::open(&path)?.sync_all()? }
-    }
-    File::open(dir)?.sync_all()
-}
-
-impl Store {
-    /// Opens it where it can be read; else it begins anew, empty.
-    fn open(dir: PathBuf) -> Result<(Store, Option<Whole>, Option<String>), String> {
-        let mut store = Store { dir, db: None };
-        let spoilt = match guarded(|| store.read()) {
-            Ok(whole) => return Ok((store, whole, None)),
-            Err(why) => why,
-        };
-        store.renew()?;
-        Ok((store, None, Some(spoilt)))
-    }
-
-    fn renew(&mut self) -> Result<(), String> {
-        self.let_go();
-        match std::fs::remove_dir_all(&self.dir) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e.to_string()),
-            _ => Ok(()),
-        }
-    }
-
-    /// Drops the handle: one that has failed once may panic at its end too.
-    fn let_go(&mut self) {
-        let db = self.db.take();
-        let _ = guarded(|| {
-            drop(db);
-            Ok(())
-        });
-    }
-
-    fn db(&mut self) -> Result<&sled::Db, String> {
-        if self.db.is_none() {
-            std::fs::create_dir_all(&self.dir).map_err(|e| e.to_string())?;
-            let config = sled::Config::new().path(&self.dir).cache_capacity(CACHE);
-            let config = config.segment_size(SEGMENT).flush_every_ms(None);
-            self.db = Some(config.open().map_err(|e| e.to_string())?);
-        }
-        self.db.as_ref().ok_or_else(|| "not open".to_owned())
-    }
-
-    fn read(&mut self) -> Result<Option<Whole>, String> {
-        match self.db()?.get(KEY).map_err(|e| e.to_string())? {
-            None => Ok(None),
-            Some(bytes) => unseal(&bytes).map(Some).ok_or_else(|| "a checksum is wrong".to_owned()),
-        }
-    }
-
-    /// Writes the whole and syncs it. Sled's own flush leaves bytes to the system that a loss of power takes,
-    /// and does not sync what it renames, so every file and folder of the store is synced here.
-    fn write(&mut self, whole: &Whole) -> Result<(), String> {
-        let db = self.db()?;
-        db.insert(KEY, seal(whole)).map_err(|e| e.to_string())?;
-        db.flush().map_err(|e| e.to_string())?;
-        sync_all(&self.dir).map_err(|e| e.to_string())
-    }
-}
-
 impl Disk {
     /// A disk that whoever has the other side writes.
     pub fn new() -> (Disk, Inbox) {
@@ -218,14 +139,21 @@
 
     /// Opens the disk in a folder and starts its thread. Waits until it is read.
     pub fn open(dir: &str) -> Result<(Disk, Found), String> {
+        Disk::open_on(dir, Arc::new(FileSystem))
+    }
+
+    /// As [`Disk::open`], on a medium of the caller's.
+    pub fn open_on(dir: &str, medium: Arc<dyn Medium>) -> Result<(Disk, Found), String> {
         let dir = PathBuf::from(dir);
         std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
         // Two processes on one disk would take each other's stores for spoilt.
-        let lock = File::create(dir.join("lock")).map_err(|e| e.to_string())?;
+        let lock = File::options().create(true).append(true).open(dir.join("lock"));
+        let lock = lock.map_err(|e| e.to_string())?;
         lock.try_lock().map_err(|e| format!("another process has this disk: {e}"))?;
         let (mut stores, mut newest, mut spoilt) = (Vec::new(), Whole::default(), Vec::new());
         for name in STORES {
-            let (store, whole, fault) = Store::open(dir.join(name))?;
+            let mut store = Store::new(dir.join(name), medium.clone());
+            let (whole, fault) = first_read(&mut store, &*medium);
             stores.push(store);
             spoilt.extend(fault);
             if let Some(whole) = whole.filter(|w| w.number >= newest.number) {
@@ -236,7 +164,7 @@
         let (disk, inbox) = Disk::new();
         let thread = std::thread::Builder::new().name("disk".to_owned());
         let kept = move || {
-            keep(&inbox, &dir, stores, newest);
+            keep(&inbox, &*medium, stores, newest);
             drop(lock);
         };
         thread.spawn(kept).map_err(|e| e.to_string())?;
@@ -273,21 +201,40 @@
     }
 }
 
-fn keep(inbox: &Inbox, dir: &Path, mut stores: Vec<Store>, mut whole: Whole) {
+/// What a store holds at start, or why it cannot be read; then it begins anew, empty. A disk that refuses is waited for:
+/// sled writes as it opens, and a store that is whole must not be given up because the disk is full.
+fn first_read(store: &mut Store, medium: &dyn Medium) -> (Option<Whole>, Option<String>) {
+    loop {
+        let why = match store.read() {
+            Ok(None) => return (None, None),
+            Ok(Some(bytes)) => match unseal(&bytes) {
+                Some(whole) => return (Some(whole), None),
+                None => "a checksum is wrong".to_owned(),
+            },
+            Err(StoreError::Refused { .. }) => {
+                store.let_go();
+                medium.pause();
+                continue;
+            }
+            Err(e) => e.to_string(),
+        };
+        while store.renew().is_err() {
+            medium.pause();
+        }
+        return (None, Some(why));
+    }
+}
+
+fn keep(inbox: &Inbox, medium: &dyn Medium, mut stores: Vec<Store>, mut whole: Whole) {
     while let Some(mut wanted) = inbox.wait() {
         if wanted.onto(&mut whole) {
             let store = &mut stores[(whole.number % 2) as usize];
-            // The other store holds what is safe so far: this one is written until it holds the new state.
-            while let Err(_refused) = guarded(|| store.write(&whole)) {
-                store.let_go();
-                std::thread::sleep(AGAIN);
-                if guarded(|| store.read()).is_err() {
-                    let _ = store.renew();
-                }
-            }
-            // The stores' own names in the folder.
-            while File::open(dir).and_then(|dir| dir.sync_all()).is_err() {
-                std::thread::sleep(AGAIN);
+            let sealed = seal(&whole);
+            // The other store holds what is safe so far: this one is made anew, lest what fills it keep it from being
+            // written, until it holds the new state.
+            while store.write(&sealed).is_err() {
+                let _ = store.renew();
+                medium.pause();
             }
         }
         wanted.is_safe();
--- /dev/null
+++ b/crates/node/src/disk/store.rs
@@ -0,0 +1,250 @@
+//! One sled store with one value in it, and what it takes for that value to outlast a loss of power.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+
+const KEY: &[u8] = b"cell";
+/// The file that sled writes in place; all others it writes once, under a name of their own.
+const SLED_FILE: &str = "db";
+/// How the name of a snapshot ends while it is written.
+const UNFINISHED: &str = "generating";
+/// What sled may hold of a store in memory, in bytes: the whole state is smaller.
+const CACHE: u64 = 1 << 20;
+/// The pieces that sled sets its file up in, in bytes: a few states fit into one.
+const SEGMENT: usize = 512 << 10;
+/// What is written to a store before it is made anew, in bytes: with its own heads it stays within its first segment.
+/// Sled uses a segment again once all in it is replaced, and from then on finds nothing without its newest snapshot, a
+/// file that it renames and removes as it opens and that a loss of power may take.
+const WRITTEN_MOST: u64 = (SEGMENT - (64 << 10)) as u64;
+/// A value that sled keeps in a file of its own, of which it removes none, fills no segment: after so many the store is
+/// made anew all the same.
+const VALUES_MOST: u32 = 8;
+/// The least value of that kind, in bytes: half a segment.
+const OWN_FILE_FROM: u64 = (SEGMENT / 2) as u64;
+/// What sled writes around a value, in bytes; in fact it is some ten.
+const AROUND: u64 = 256;
+
+/// Pause before a disk that refused is tried again.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// What a disk does that a test may want to refuse, or to remember.
+pub trait Medium: Send + Sync {
+    /// Whether so many bytes more may be written to a store.
+    fn admits(&self, store: &Path, bytes: u64) -> io::Result<()>;
+
+    /// Makes a file's content, or a folder's names, outlast a loss of power.
+    fn sync(&self, path: &Path) -> io::Result<()>;
+
+    /// Passes the time until a disk that refused is tried again.
+    fn pause(&self) {
+        std::thread::sleep(AGAIN);
+    }
+}
+
+/// The machine's own file system.
+pub struct FileSystem;
+
+impl Medium for FileSystem {
+    fn admits(&self, _store: &Path, _bytes: u64) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn sync(&self, path: &Path) -> io::Result<()> {
+        File::open(path)?.sync_all()
+    }
+}
+
+/// Why a store could not be read or written.
+#[derive(Debug, Display, Error)]
+pub enum StoreError {
+    /// The disk takes nothing, or gives nothing, for now: what the store holds may be whole.
+    #[display("the disk refuses: {why}")]
+    Refused { why: io::Error },
+    #[display("the store is not sound: {why}")]
+    Unsound {
+        #[error(not(source))]
+        why: String,
+    },
+}
+
+impl StoreError {
+    fn unsound(why: &str) -> Self {
+        StoreError::Unsound { why: why.to_owned() }
+    }
+}
+
+impl From<io::Error> for StoreError {
+    fn from(why: io::Error) -> Self {
+        // A file that is cut off, or whose bytes mean nothing, stays so however often it is read.
+        let unsound = matches!(
+            why.kind(),
+            io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        );
+        if unsound { StoreError::unsound(&why.to_string()) } else { StoreError::Refused { why } }
+    }
+}
+
+impl From<sled::Error> for StoreError {
+    fn from(why: sled::Error) -> Self {
+        match why {
+            sled::Error::Io(why) => why.into(),
+            why => StoreError::unsound(&why.to_string()),
+        }
+    }
+}
+
+/// Runs what may panic on bytes that it did not expect.
+fn guarded<T>(run: impl FnOnce() -> Result<T, StoreError>) -> Result<T, StoreError> {
+    catch_unwind(AssertUnwindSafe(run)).unwrap_or_else(|_| Err(StoreError::unsound("a panic within")))
+}
+
+/// A folder's names and the lengths of its files.
+type Listing = BTreeMap<PathBuf, u64>;
+
+/// What has been synced of a folder, by its path.
+type Synced = BTreeMap<PathBuf, Listing>;
+
+/// A store; its handle is none while it has to be opened anew.
+pub struct Store {
+    dir: PathBuf,
+    medium: Arc<dyn Medium>,
+    db: Option<sled::Db>,
+    /// What its folders held when they were synced last, since it was opened.
+    synced: Synced,
+    /// What was written to it since it was made anew; none where that was not in this life of the process.
+    written: Option<Written>,
+    /// Whether its own name is known to outlast a loss of power.
+    named: bool,
+}
+
+/// What a store has taken since it was made anew.
+#[derive(Clone, Copy, Default)]
+struct Written {
+    values: u32,
+    /// Of its first segment.
+    bytes: u64,
+}
+
+impl Written {
+    /// With one value more; none if that is too much.
+    fn with(self, value: &[u8]) -> Option<Written> {
+        let len = value.len() as u64;
+        let own_file = len + AROUND >= OWN_FILE_FROM;
+        let values = self.values + u32::from(own_file);
+        let bytes = self.bytes + AROUND + if own_file { 0 } else { len };
+        (values <= VALUES_MOST && bytes <= WRITTEN_MOST).then_some(Written { values, bytes })
+    }
+}
+
+impl Store {
+    pub fn new(dir: PathBuf, medium: Arc<dyn Medium>) -> Self {
+        Store { dir, medium, db: None, synced: Synced::new(), written: None, named: false }
+    }
+
+    /// The value that it holds.
+    pub fn read(&mut self) -> Result<Option<Vec<u8>>, StoreError> {
+        guarded(|| Ok(self.db()?.get(KEY)?.map(|bytes| bytes.to_vec())))
+    }
+
+    /// Puts a value in place of the one before; it is safe once this has returned. Whatever the store held may be gone
+    /// from the moment this is called.
+    pub fn write(&mut self, value: &[u8]) -> Result<(), StoreError> {
+        let written = match self.written.and_then(|written| written.with(value)) {
+            Some(written) => written,
+            None => {
+                self.renew()?;
+                Written::default().with(value).unwrap_or_default()
+            }
+        };
+        self.medium.admits(&self.dir, value.len() as u64)?;
+        guarded(|| {
+            let db = self.db()?;
+            db.insert(KEY, value)?;
+            db.flush()?;
+            Ok(())
+        })?;
+        // Sled's own flush leaves bytes to the system that a loss of power takes, and does not sync what it renames.
+        self.sync(&self.dir.clone())?;
+        if let Some(parent) = self.dir.parent().filter(|_| !self.named) {
+            self.medium.sync(parent)?;
+            self.named = true;
+        }
+        self.written = Some(written);
+        Ok(())
+    }
+
+    /// Empties it.
+    pub fn renew(&mut self) -> Result<(), StoreError> {
+        self.let_go();
+        (self.written, self.named) = (None, false);
+        match std::fs::remove_dir_all(&self.dir) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e.into()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Drops the handle: one that has failed once may panic at its end too.
+    pub fn let_go(&mut self) {
+        let db = self.db.take();
+        self.synced.clear();
+        let _ = guarded(|| {
+            drop(db);
+            Ok(())
+        });
+    }
+
+    fn db(&mut self) -> Result<&sled::Db, StoreError> {
+        if self.db.is_none() {
+            std::fs::create_dir_all(&self.dir)?;
+            self.drop_unfinished()?;
+            let config = sled::Config::new().path(&self.dir).cache_capacity(CACHE);
+            let config = config.segment_size(SEGMENT).flush_every_ms(None);
+            self.db = Some(config.open()?);
+        }
+        self.db.as_ref().ok_or_else(|| StoreError::unsound("not open"))
+    }
+
+    /// Removes the snapshots that sled had begun when its process ended: it takes one of them for its newest.
+    fn drop_unfinished(&self) -> io::Result<()> {
+        for entry in std::fs::read_dir(&self.dir)? {
+            let path = entry?.path();
+            if path.extension().is_some_and(|e| e == UNFINISHED) {
+                std::fs::remove_file(path)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Syncs what may have changed within a folder of the store: of its files those that are new or of another length,
+    /// and sled's own file, which is written in place; the folder itself where its names have changed.
+    fn sync(&mut self, dir: &Path) -> Result<(), StoreError> {
+        let before = self.synced.remove(dir);
+        let mut now = Listing::new();
+        for entry in std::fs::read_dir(dir)? {
+            let (path, about) = {
+                let entry = entry?;
+                (entry.path(), entry.metadata()?)
+            };
+            let length = if about.is_dir() { 0 } else { about.len() };
+            let changed = before.as_ref().and_then(|b| b.get(&path)) != Some(&length);
+            if about.is_dir() {
+                self.sync(&path)?;
+            } else if changed || path.ends_with(SLED_FILE) {
+                self.medium.sync(&path)?;
+            }
+            now.insert(path, length);
+        }
+        if before.is_none_or(|before| !before.keys().eq(now.keys())) {
+            self.medium.sync(dir)?;
+        }
+        self.synced.insert(dir.to_owned(), now);
+        Ok(())
+    }
+}
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -1,9 +1,14 @@
 //! What a disk keeps: its content after a loss of power, with either store torn, spoilt or gone.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use ashvane_node::disk::{Disk, Found};
+use ashvane_node::disk::{Disk, FileSystem, Found, Medium};
 use ashvane_quorum::{Membership, Replica, StoredConfig};
+use parking_lot::Mutex;
 
 fn folder(name: &str) -> PathBuf {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
@@ -17,8 +22,12 @@
 
 /// Opens a disk once the one before has let go of it.
 fn open(dir: &Path) -> (Disk, Found) {
-    for _ in 0..100_000 {
-        if let Ok(opened) = Disk::open(&dir.to_string_lossy()) {
+    open_on(dir, Arc::new(FileSystem))
+}
+
+fn open_on(dir: &Path, medium: Arc<dyn Medium>) -> (Disk, Found) {
+    for _ in 0..1_000_000 {
+        if let Ok(opened) = Disk::open_on(&dir.to_string_lossy(), medium.clone()) {
             return opened;
         }
         std::thread::yield_now();
@@ -126,3 +135,261 @@
     assert!(found.kept.is_none() && found.stored.is_none());
     disk.close();
 }
+
+/// A large configuration, as it is stored: packed, so that nothing makes it shorter.
+fn large(version: u64, bytes: usize) -> StoredConfig {
+    StoredConfig { version, text: "x".repeat(bytes).into() }
+}
+
+fn size(dir: &Path) -> u64 {
+    let entries = std::fs::read_dir(dir).into_iter().flatten().flatten();
+    let bytes = |path: PathBuf| match path.is_dir() {
+        true => size(&path),
+        false => path.metadata().map_or(0, |about| about.len()),
+    };
+    entries.map(|entry| bytes(entry.path())).sum()
+}
+
+/// A medium that counts what it is asked, syncs nothing and takes all.
+#[derive(Default)]
+struct Counting {
+    syncs: AtomicU64,
+    written: AtomicU64,
+}
+
+impl Medium for Counting {
+    fn admits(&self, _store: &Path, bytes: u64) -> io::Result<()> {
+        self.written.fetch_add(bytes, Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn sync(&self, _path: &Path) -> io::Result<()> {
+        self.syncs.fetch_add(1, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+/// What a machine of the core has as its disk, in bytes.
+const DISK: u64 = 128 << 20;
+
+/// Hundreds of changes, in several lives, leave the disk as small as a few of them. By hand, with its figures:
+/// `DISK_CHANGES=1000 cargo test --release -p ashvane-node --test disk -- --nocapture bounded`.
+#[test]
+fn state_on_disk_is_bounded_however_often_it_changes() {
+    let by_hand = std::env::var("DISK_CHANGES").ok().and_then(|n| n.parse::<u64>().ok());
+    let changes = by_hand.unwrap_or(80);
+    for bytes in [20_000, 300_000] {
+        let dir = folder(&format!("bounded-{bytes}"));
+        let medium = Arc::new(Counting::default());
+        let replica = Replica::empty("d".into(), Membership::default());
+        let (mut most, mut version) = (0, 0);
+        for _life in 0..4 {
+            let (disk, found) = open_on(&dir, medium.clone());
+            assert_eq!(found.stored.map_or(0, |f| f.version), version);
+            for _ in 0..changes / 4 {
+                version += 1;
+                disk.keep(Some(replica.kept()), Some(&large(version, bytes))).blocking_recv().expect("kept");
+                most = most.max(size(&dir));
+            }
+            disk.close();
+        }
+        let each = |sum: &AtomicU64| sum.load(Ordering::Relaxed) as f64 / version as f64;
+        println!(
+            "{version} changes of {bytes} bytes: {most} bytes on disk at most, {:.0} written and {:.2} syncs a change",
+            each(&medium.written),
+            each(&medium.syncs)
+        );
+        assert!(most < DISK / 4, "{most} bytes on disk after {version} changes of {bytes}");
+        assert!(each(&medium.syncs) < 5.0, "{} syncs a change of {bytes}", each(&medium.syncs));
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+}
+
+/// A medium that remembers what a loss of power would leave: of each file what its last sync covered, of each folder
+/// the names at its last sync. What was made or removed since is lost or kept as `unsynced` has it.
+struct Shadow {
+    files: Mutex<BTreeMap<PathBuf, Vec<u8>>>,
+    names: Mutex<BTreeMap<PathBuf, BTreeSet<PathBuf>>>,
+}
+
+impl Medium for Shadow {
+    fn admits(&self, _store: &Path, _bytes: u64) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn sync(&self, path: &Path) -> io::Result<()> {
+        if path.is_dir() {
+            let names = std::fs::read_dir(path)?.map(|e| e.map(|e| e.path())).collect::<io::Result<_>>()?;
+            self.names.lock().insert(path.to_owned(), names);
+        } else {
+            self.files.lock().insert(path.to_owned(), std::fs::read(path)?);
+        }
+        Ok(())
+    }
+}
+
+impl Shadow {
+    /// Lays out what is left of one folder in another.
+    fn left_of(&self, from: &Path, to: &Path) {
+        std::fs::create_dir_all(to).expect("a folder");
+        let names = self.names.lock().get(from).cloned().unwrap_or_default();
+        for path in names {
+            let to = to.join(path.file_name().expect("a name"));
+            let content = self.files.lock().get(&path).cloned();
+            match content {
+                Some(bytes) => std::fs::write(to, bytes).expect("written"),
+                None if path.is_dir() => self.left_of(&path, &to),
+                // It was made and never synced.
+                None => {}
+            }
+        }
+    }
+}
+
+/// After each answer, power is lost: what was answered is there, in small states and in large ones, which sled keeps in
+/// files of their own, and while a store is made anew.
+#[test]
+fn what_was_answered_outlasts_a_loss_of_power() {
+    for bytes in [3_000, 300_000] {
+        let dir = folder(&format!("power-{bytes}"));
+        let shadow = Arc::new(Shadow { files: Mutex::default(), names: Mutex::default() });
+        let mut version = 0;
+        for _life in 0..2 {
+            let (disk, _) = open_on(&dir, shadow.clone());
+            for _ in 0..20 {
+                version += 1;
+                disk.keep(None, Some(&large(version, bytes))).blocking_recv().expect("kept");
+                if version % 5 < 2 {
+                    let left = folder(&format!("power-left-{bytes}"));
+                    shadow.left_of(&dir, &left);
+                    let (after, found) = open(&left);
+                    assert_eq!(found.stored.map(|f| f.version), Some(version), "of {bytes} bytes");
+                    after.close();
+                }
+            }
+            disk.close();
+        }
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+}
+
+/// A medium that takes nothing while it is full, and counts how often it was tried in vain.
+#[derive(Default)]
+struct Filling {
+    full: AtomicBool,
+    in_vain: AtomicU64,
+}
+
+impl Medium for Filling {
+    fn admits(&self, _store: &Path, _bytes: u64) -> io::Result<()> {
+        if self.full.load(Ordering::SeqCst) { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn sync(&self, _path: &Path) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn pause(&self) {
+        self.in_vain.fetch_add(1, Ordering::SeqCst);
+        std::thread::yield_now();
+    }
+}
+
+/// Nothing is answered while the disk is full, what was answered before is still there, and what was held up is answered
+/// by itself once there is room.
+#[test]
+fn writes_that_a_full_disk_holds_up_come_back() {
+    let dir = folder("full");
+    let medium = Arc::new(Filling::default());
+    let (disk, _) = open_on(&dir, medium.clone());
+    disk.keep(None, Some(&stored(1))).blocking_recv().expect("kept");
+    disk.keep(None, Some(&stored(2))).blocking_recv().expect("kept");
+    medium.full.store(true, Ordering::SeqCst);
+    let mut held_up = disk.keep(None, Some(&stored(3)));
+    while medium.in_vain.load(Ordering::SeqCst) < 3 {
+        std::thread::yield_now();
+    }
+    assert!(held_up.try_recv().is_err(), "answered though it is not on disk");
+    let left = folder("full-left");
+    copy(&dir, &left);
+    let (after, found) = open(&left);
+    assert_eq!(found.stored.map(|f| f.version), Some(2), "what was answered has gone with the full disk");
+    after.close();
+    let later = disk.keep(None, Some(&stored(4)));
+    medium.full.store(false, Ordering::SeqCst);
+    held_up.blocking_recv().expect("kept at last");
+    later.blocking_recv().expect("and what came meanwhile");
+    disk.close();
+    let (disk, found) = open(&dir);
+    assert_eq!(found.stored.map(|f| f.version), Some(4));
+    disk.close();
+}
+
+/// Sled renames and removes its snapshots as it opens, and syncs no folder: a loss of power may leave none. A store that
+/// needs them for what it holds would be found empty, without a word.
+#[test]
+fn stores_are_found_without_their_snapshots() {
+    for bytes in [20_000, 100_000] {
+        let dir = folder(&format!("snapshots-{bytes}"));
+        let mut version = 0;
+        for _life in 0..2 {
+            let (disk, found) = open(&dir);
+            assert_eq!(found.stored.map_or(0, |f| f.version), version, "of {bytes} bytes");
+            for _ in 0..60 {
+                version += 1;
+                disk.keep(None, Some(&large(version, bytes))).blocking_recv().expect("kept");
+            }
+            disk.close();
+            // Read, and read again: each time sled leaves another snapshot.
+            (0..3).for_each(|_| open(&dir).0.close());
+            let left = folder(&format!("snapshots-left-{bytes}"));
+            copy(&dir, &left);
+            for store in ["cells-a", "cells-b"] {
+                let entries = std::fs::read_dir(left.join(store)).expect("a store").flatten();
+                let snapshots = entries.filter(|e| e.file_name().to_string_lossy().starts_with("snap."));
+                snapshots.for_each(|e| std::fs::remove_file(e.path()).expect("removed"));
+            }
+            let (after, found) = open(&left);
+            assert_eq!(found.stored.map_or(0, |f| f.version), version, "of {bytes} bytes");
+            after.close();
+        }
+    }
+}
+
+/// What a process leaves that ended as it opened its stores: a snapshot that was begun.
+#[test]
+fn a_snapshot_that_was_begun_spoils_no_store() {
+    let dir = folder("begun");
+    fill(&dir, 4);
+    open(&dir).0.close();
+    for store in ["cells-a", "cells-b"] {
+        std::fs::write(dir.join(store).join("snap.00000000FFFFFFFF.generating"), b"half").expect("written");
+    }
+    let (disk, found) = open(&dir);
+    assert!(found.spoilt.is_empty() && found.stored == Some(stored(4)));
+    disk.close();
+}
+
+/// Sled writes as it opens. A disk that refuses that is waited for; a store must not be given up for it.
+#[test]
+fn a_disk_that_refuses_at_start_is_waited_for_and_gives_up_no_store() {
+    let dir = folder("refuses");
+    fill(&dir, 4);
+    open(&dir).0.close();
+    // What the system refuses to read as a file.
+    let refusals = ["cells-a", "cells-b"].map(|store| dir.join(store).join("snap.FFFFFFFFFFFFFFFF"));
+    refusals.iter().for_each(|path| std::fs::create_dir(path).expect("a folder"));
+    let medium = Arc::new(Filling::default());
+    let opening = std::thread::spawn({
+        let (dir, medium) = (dir.clone(), medium.clone());
+        move || open_on(&dir, medium)
+    });
+    while medium.in_vain.load(Ordering::SeqCst) < 3 {
+        assert!(!opening.is_finished(), "it has opened what it can't read");
+        std::thread::yield_now();
+    }
+    refusals.iter().for_each(|path| std::fs::remove_dir(path).expect("removed"));
+    let (disk, found) = opening.join().expect("opened");
+    assert!(found.spoilt.is_empty() && found.stored == Some(stored(4)));
+    disk.close();
+}
