--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -199,7 +199,7 @@
             each(&medium.written),
             each(&medium.syncs)
         );
-        assert!(most < DISK / 4, "{most} bytes on disk after {version} changes of {bytes}");
+        assert!(most < DISK / 8, "{most} bytes on disk after {version} changes of {bytes}");
         assert!(each(&medium.syncs) < 5.0, "{} syncs a change of {bytes}", each(&medium.syncs));
         let _ = std::fs::remove_dir_all(&dir);
     }
