--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use ashvane_node::disk::{Disk, FileSystem, Found, Medium};
-use ashvane_quorum::{Membership, Replica, StoredConfig};
+use ashvane_quorum::{Accepted, Ballot, Membership, ReplicaState, StoredConfig, TextDigest, Value};
 use parking_lot::Mutex;
 
 fn folder(name: &str) -> PathBuf {
@@ -17,7 +17,29 @@
 }
 
 fn stored(version: u64) -> StoredConfig {
-    StoredConfig { version, text: "x".repeat(2000 * version as usize).into() }
+    let text = "x".repeat(2000 * version as usize);
+    StoredConfig { version, digest: TextDigest::of(text.as_bytes()), text: text.into() }
+}
+
+/// A replica that holds this version.
+fn state(version: u64) -> ReplicaState {
+    holding(stored(version))
+}
+
+fn holding(config: StoredConfig) -> ReplicaState {
+    let ballot = Ballot { round: config.version, by: "d/1/1".into() };
+    let value = Value::default().with(&config).into();
+    ReplicaState {
+        disk: "d".into(),
+        membership: Membership::default(),
+        promised: ballot.clone(),
+        accepted: Accepted { ballot, value, next: None },
+    }
+}
+
+/// The configuration that was found.
+fn held(found: &Found) -> Option<StoredConfig> {
+    found.replica.as_ref().and_then(|replica| replica.accepted.value.config.clone())
 }
 
 /// Opens a disk once the one before has let go of it.
@@ -38,9 +60,8 @@
 /// Writes versions up to this one, each kept before the next.
 fn fill(dir: &Path, versions: u64) {
     let (disk, _) = open(dir);
-    let replica = Replica::empty("d".into(), Membership::default());
     for version in 1..=versions {
-        disk.keep(Some(replica.kept()), Some(&stored(version))).blocking_recv().expect("kept");
+        disk.keep(Some(state(version))).blocking_recv().expect("kept");
     }
     disk.close();
 }
@@ -58,8 +79,8 @@
     let dir = folder("kept");
     fill(&dir, 5);
     let (disk, found) = open(&dir);
-    assert!(found.stored == Some(stored(5)) && found.spoilt.is_empty());
-    assert_eq!(found.kept.map(|k| k.disk.to_string()), Some("d".to_owned()));
+    assert!(held(&found) == Some(stored(5)) && found.spoilt.is_empty());
+    assert_eq!(found.replica.map(|replica| replica.disk.to_string()), Some("d".to_owned()));
     disk.close();
 }
 
@@ -85,12 +106,12 @@
         }
         std::fs::write(torn.join("cells-a/db"), &spoilt).expect("written");
         let (disk, found) = open(&torn);
-        let version = found.stored.map_or(0, |f| f.version);
+        let version = held(&found).map_or(0, |f| f.version);
         assert!(version == 3 || version == 4, "seed {seed}: {version}");
-        disk.keep(None, Some(&stored(9))).blocking_recv().expect("it goes on");
+        disk.keep(Some(state(9))).blocking_recv().expect("it goes on");
         disk.close();
         let (disk, found) = open(&torn);
-        assert_eq!(found.stored.map(|f| f.version), Some(9), "seed {seed}");
+        assert_eq!(held(&found).map(|f| f.version), Some(9), "seed {seed}");
         disk.close();
         let _ = std::fs::remove_dir_all(&torn);
     }
@@ -105,10 +126,10 @@
         "seq":4,"silent":false,"keeper":"n"}"#;
     let server: ashvane_gossip::Server = serde_json::from_str(text).expect("a server");
     disk.hint(vec![server.clone()]);
-    disk.keep(None, Some(&stored(3))).blocking_recv().expect("kept");
+    disk.keep(Some(state(3))).blocking_recv().expect("kept");
     disk.close();
     let (disk, found) = open(&dir);
-    assert!(found.servers == vec![server] && found.stored == Some(stored(3)) && found.kept.is_some());
+    assert!(found.servers == vec![server] && held(&found) == Some(stored(3)) && found.replica.is_some());
     disk.close();
 }
 
@@ -120,7 +141,7 @@
     assert!(Disk::open(&dir.to_string_lossy()).is_err());
     disk.close();
     let (disk, found) = open(&dir);
-    assert!(found.stored.map(|f| f.version) == Some(3) && found.spoilt.is_empty());
+    assert!(held(&found).map(|f| f.version) == Some(3) && found.spoilt.is_empty());
     disk.close();
 }
 
@@ -132,13 +153,22 @@
         std::fs::write(dir.join(store).join("db"), b"no store").expect("written");
     }
     let (disk, found) = open(&dir);
-    assert!(found.kept.is_none() && found.stored.is_none());
+    assert!(found.replica.is_none());
     disk.close();
 }
 
-/// A large configuration, as it is stored: packed, so that nothing makes it shorter.
-fn large(version: u64, bytes: usize) -> StoredConfig {
-    StoredConfig { version, text: "x".repeat(bytes).into() }
+/// A replica that holds this version of a large configuration: it is stored packed, so nothing makes it shorter.
+fn large(version: u64, bytes: usize) -> ReplicaState {
+    holding(StoredConfig {
+        version,
+        digest: TextDigest::of(&version.to_le_bytes()),
+        text: "x".repeat(bytes).into(),
+    })
+}
+
+/// The version that was found; 0 where none was.
+fn version_held(found: &Found) -> u64 {
+    held(found).map_or(0, |config| config.version)
 }
 
 fn size(dir: &Path) -> u64 {
@@ -181,14 +211,13 @@
     for bytes in [20_000, 300_000] {
         let dir = folder(&format!("bounded-{bytes}"));
         let medium = Arc::new(Counting::default());
-        let replica = Replica::empty("d".into(), Membership::default());
         let (mut most, mut version) = (0, 0);
         for _life in 0..2 {
             let (disk, found) = open_on(&dir, medium.clone());
-            assert_eq!(found.stored.map_or(0, |f| f.version), version);
+            assert_eq!(version_held(&found), version);
             for _ in 0..changes / 2 {
                 version += 1;
-                disk.keep(Some(replica.kept()), Some(&large(version, bytes))).blocking_recv().expect("kept");
+                disk.keep(Some(large(version, bytes))).blocking_recv().expect("kept");
                 most = most.max(size(&dir));
             }
             disk.close();
@@ -258,12 +287,12 @@
             let (disk, _) = open_on(&dir, shadow.clone());
             for _ in 0..20 {
                 version += 1;
-                disk.keep(None, Some(&large(version, bytes))).blocking_recv().expect("kept");
+                disk.keep(Some(large(version, bytes))).blocking_recv().expect("kept");
                 if version % 5 < 2 {
                     let left = folder(&format!("power-left-{bytes}"));
                     shadow.left_of(&dir, &left);
                     let (after, found) = open(&left);
-                    assert_eq!(found.stored.map(|f| f.version), Some(version), "of {bytes} bytes");
+                    assert_eq!(version_held(&found), version, "of {bytes} bytes");
                     after.close();
                 }
             }
@@ -302,10 +331,10 @@
     let dir = folder("full");
     let medium = Arc::new(Filling::default());
     let (disk, _) = open_on(&dir, medium.clone());
-    disk.keep(None, Some(&stored(1))).blocking_recv().expect("kept");
-    disk.keep(None, Some(&stored(2))).blocking_recv().expect("kept");
+    disk.keep(Some(state(1))).blocking_recv().expect("kept");
+    disk.keep(Some(state(2))).blocking_recv().expect("kept");
     medium.full.store(true, Ordering::SeqCst);
-    let mut held_up = disk.keep(None, Some(&stored(3)));
+    let mut held_up = disk.keep(Some(state(3)));
     while medium.in_vain.load(Ordering::SeqCst) < 3 {
         std::thread::yield_now();
     }
@@ -313,15 +342,15 @@
     let left = folder("full-left");
     copy(&dir, &left);
     let (after, found) = open(&left);
-    assert_eq!(found.stored.map(|f| f.version), Some(2), "what was answered has gone with the full disk");
+    assert_eq!(version_held(&found), 2, "what was answered has gone with the full disk");
     after.close();
-    let later = disk.keep(None, Some(&stored(4)));
+    let later = disk.keep(Some(state(4)));
     medium.full.store(false, Ordering::SeqCst);
     held_up.blocking_recv().expect("kept at last");
     later.blocking_recv().expect("and what came meanwhile");
     disk.close();
     let (disk, found) = open(&dir);
-    assert_eq!(found.stored.map(|f| f.version), Some(4));
+    assert_eq!(version_held(&found), 4);
     disk.close();
 }
 
@@ -334,10 +363,10 @@
         let mut version = 0;
         for _life in 0..2 {
             let (disk, found) = open(&dir);
-            assert_eq!(found.stored.map_or(0, |f| f.version), version, "of {bytes} bytes");
+            assert_eq!(version_held(&found), version, "of {bytes} bytes");
             for _ in 0..60 {
                 version += 1;
-                disk.keep(None, Some(&large(version, bytes))).blocking_recv().expect("kept");
+                disk.keep(Some(large(version, bytes))).blocking_recv().expect("kept");
             }
             disk.close();
             // Read, and read again: each time sled leaves another snapshot.
@@ -350,7 +379,7 @@
                 snapshots.for_each(|e| std::fs::remove_file(e.path()).expect("removed"));
             }
             let (after, found) = open(&left);
-            assert_eq!(found.stored.map_or(0, |f| f.version), version, "of {bytes} bytes");
+            assert_eq!(version_held(&found), version, "of {bytes} bytes");
             after.close();
         }
     }
@@ -366,7 +395,7 @@
         std::fs::write(dir.join(store).join("snap.00000000FFFFFFFF.generating"), b"half").expect("written");
     }
     let (disk, found) = open(&dir);
-    assert!(found.spoilt.is_empty() && found.stored == Some(stored(4)));
+    assert!(found.spoilt.is_empty() && held(&found) == Some(stored(4)));
     disk.close();
 }
 
@@ -390,6 +419,6 @@
     }
     refusals.iter().for_each(|path| std::fs::remove_dir(path).expect("removed"));
     let (disk, found) = opening.join().expect("opened");
-    assert!(found.spoilt.is_empty() && found.stored == Some(stored(4)));
+    assert!(found.spoilt.is_empty() && held(&found) == Some(stored(4)));
     disk.close();
 }
