--- /dev/null
+++ b/crates/node/tests/storms.rs
@@ -0,0 +1,249 @@
+//! Hundreds of changes: configurations in quick succession, and members that have missed them. Whole processes on a
+//! simulated network; time is counted, nothing is waited for.
+
+#[allow(dead_code, reason = "other tests use the rest of it")]
+mod simulation;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashvane_node::agent::{Agent, Put};
+use simulation::{Machine, Simulation, configuration, ms, play};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// The users' bounds, as at the small sites.
+const APPLY: Duration = ms(3000);
+const ACK: Duration = ms(6000);
+const CONTACT: Duration = ms(5000);
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = ms(1000);
+/// Orders that operators have under way at once.
+const UNDER_WAY: usize = 8;
+
+/// What the operators sent and were told, and what each process had in force.
+struct Storm {
+    simulation: Rc<Simulation>,
+    rng: RefCell<fastrand::Rng>,
+    under_way: Cell<usize>,
+    /// Versions acknowledged: when they were first sent, and when they were held.
+    held: RefCell<BTreeMap<u64, (Instant, Instant)>>,
+    unheld: RefCell<BTreeMap<u64, Instant>>,
+    seen: RefCell<BTreeMap<String, BTreeSet<u64>>>,
+}
+
+impl Storm {
+    async fn begin(seed: u64, control_nodes: usize, gateways: usize) -> Rc<Self> {
+        fastrand::seed(seed);
+        let simulation = Simulation::new(control_nodes, gateways, 1);
+        sleep(ms(2000)).await;
+        let (under_way, held, unheld, seen) = Default::default();
+        let rng = fastrand::Rng::with_seed(seed).into();
+        Rc::new(Storm { simulation, rng, under_way, held, unheld, seen })
+    }
+
+    /// Sends an order to one control node after another, as operators do, until it is held.
+    async fn order(self: Rc<Self>, version: u64) {
+        let began = Instant::now();
+        self.under_way.set(self.under_way.get() + 1);
+        self.unheld.borrow_mut().insert(version, began);
+        loop {
+            let control_nodes = self.simulation.control_nodes();
+            let at = control_nodes[self.rng.borrow_mut().usize(..control_nodes.len())].clone();
+            let put = async move |agent: Rc<Agent>| agent.put(configuration(version, 0).as_bytes()).await;
+            match at.ask(PATIENCE, put).await {
+                Some(Put::Held(held)) if held >= version => break,
+                Some(Put::Conflict { .. } | Put::Invalid(_)) => panic!("{version} is refused"),
+                _ => sleep(ms(100)).await,
+            }
+        }
+        self.unheld.borrow_mut().remove(&version);
+        self.held.borrow_mut().insert(version, (began, Instant::now()));
+        self.under_way.set(self.under_way.get() - 1);
+    }
+
+    /// A storm of orders, one each `gap`, while there is room for one more under way.
+    async fn orders(self: &Rc<Self>, versions: std::ops::RangeInclusive<u64>, gap: Duration) {
+        for version in versions {
+            while self.under_way.get() >= UNDER_WAY {
+                sleep(ms(10)).await;
+                self.look();
+            }
+            spawn_local(self.clone().order(version));
+            let next = Instant::now() + gap;
+            while Instant::now() < next {
+                sleep(ms(10)).await;
+                self.look();
+            }
+        }
+    }
+
+    async fn until_all_are_held(self: &Rc<Self>) {
+        while self.under_way.get() > 0 {
+            sleep(ms(10)).await;
+            self.look();
+        }
+    }
+
+    fn look(&self) {
+        for machine in self.simulation.all() {
+            let Some(version) = in_force(&machine) else { continue };
+            self.seen.borrow_mut().entry(machine.name.clone()).or_default().insert(version);
+        }
+        let late = self.unheld.borrow().iter().find(|(_, at)| at.elapsed() > ACK).map(|(v, _)| *v);
+        assert!(late.is_none(), "no word on {late:?}");
+    }
+
+    /// Whoever has been well for a while has what was acknowledged before that, or newer.
+    fn nobody_is_behind(&self, since: Duration) {
+        let Some(at) = Instant::now().checked_sub(since) else { return };
+        let held = self.held.borrow();
+        let due = held.iter().filter(|(_, (_, when))| *when < at).map(|(v, _)| *v).max().unwrap_or(0);
+        for machine in self.simulation.all() {
+            let version = in_force(&machine);
+            let calm = machine.well_since.get().is_some_and(|at| at.elapsed() >= CONTACT);
+            assert!(!calm || version >= Some(due), "{} has {version:?} of {due}", machine.name);
+        }
+    }
+
+    /// How long acknowledgements took: the median and the longest.
+    fn acknowledged_within(&self) -> (Duration, Duration) {
+        let mut took: Vec<Duration> = self.held.borrow().values().map(|(a, b)| *b - *a).collect();
+        took.sort();
+        (took[took.len() / 2], took[took.len() - 1])
+    }
+}
+
+fn in_force(machine: &Machine) -> Option<u64> {
+    Some(machine.agent()?.config()?.version)
+}
+
+/// Bytes that all processes have said to one another about the register and the configuration.
+fn said(simulation: &Simulation) -> u64 {
+    let of = |machine: Rc<Machine>| machine.agent().map(|agent| agent.said()).unwrap_or_default();
+    let about = |said: BTreeMap<&'static str, (u64, u64)>| {
+        ["register", "configuration"].iter().filter_map(|cause| Some(said.get(cause)?.1)).sum::<u64>()
+    };
+    simulation.all().into_iter().map(|machine| about(of(machine))).sum()
+}
+
+/// A storm of 300 orders, ten a second, beside what `troubles` does meanwhile.
+async fn storm<F: Future<Output = ()> + 'static>(seed: u64, troubles: impl FnOnce(Rc<Simulation>) -> F) {
+    let storm = Storm::begin(seed, 5, 6).await;
+    let checking = storm.clone();
+    spawn_local(async move {
+        loop {
+            sleep(ms(100)).await;
+            checking.nobody_is_behind(APPLY);
+        }
+    });
+    spawn_local(troubles(storm.simulation.clone()));
+    let began = Instant::now();
+    storm.orders(1..=300, ms(100)).await;
+    storm.until_all_are_held().await;
+    let took = began.elapsed();
+    sleep(ms(1500)).await;
+    storm.nobody_is_behind(Duration::ZERO);
+    let seen = storm.seen.borrow();
+    let gateways = seen.iter().filter(|(name, _)| name.starts_with("gateway"));
+    let counts: Vec<usize> = gateways.map(|(_, versions)| versions.len()).collect();
+    let (median, longest) = storm.acknowledged_within();
+    println!(
+        "seed {seed}: 300 held within {took:?}, median {median:?}, longest {longest:?}; in force at gateways: {counts:?}"
+    );
+    assert!(counts.len() == 6 && storm.held.borrow().len() == 300);
+}
+
+/// Ten a second for half a minute: all are acknowledged, and no gateway is behind for longer than a configuration may take.
+#[test]
+fn nobody_falls_behind_in_a_storm_of_configurations() {
+    play(storm(0, async |_| {}));
+}
+
+/// The same while a control node restarts, a gateway stands still, another is cut off and a disk is slow: whoever was not
+/// there skips what it missed.
+#[test]
+fn nobody_falls_behind_for_good_in_a_storm_with_troubles() {
+    let troubles = async |simulation: Rc<Simulation>| {
+        let all = simulation.all();
+        let strike = async |machine: &Rc<Machine>, lasts: Duration, on: &dyn Fn(), off: &dyn Fn()| {
+            machine.well_since.set(None);
+            on();
+            sleep(lasts).await;
+            off();
+            machine.well_since.set(Some(Instant::now()));
+        };
+        sleep(ms(3000)).await;
+        let control_node = &all[1];
+        let network = &simulation.network;
+        strike(control_node, ms(2500), &|| control_node.kill(network), &|| {
+            control_node.start(network, false)
+        })
+        .await;
+        sleep(ms(3000)).await;
+        strike(&all[6], ms(4000), &|| all[6].freeze(true), &|| all[6].freeze(false)).await;
+        let cut = &all[7];
+        strike(cut, ms(4000), &|| network.cut([cut.ip.clone()]), &|| network.mend()).await;
+        let sync = &all[2].storage.as_ref().expect("a disk").sync;
+        strike(&all[2], ms(4000), &|| sync.set(ms(400)), &|| sync.set(ms(5))).await;
+        let wiped = &all[3];
+        let strike_off = || {
+            wiped.kill(network);
+            wiped.wipe();
+        };
+        strike(wiped, ms(1000), &strike_off, &|| wiped.start(network, false)).await;
+    };
+    for seed in 0..2 {
+        play(storm(seed, troubles));
+    }
+}
+
+/// What a member costs that was away for this many changes, or lost its disk meanwhile, in bytes about the register and
+/// the configuration: less what the same machine costs in the same time that missed none.
+async fn caught_up_after(changes: u64, wiped: bool) -> u64 {
+    let storm = Storm::begin(7, 5, 2).await;
+    storm.orders(1..=3, ms(50)).await;
+    storm.until_all_are_held().await;
+    let away = storm.simulation.all()[1].clone();
+    away.well_since.set(None);
+    away.kill(&storm.simulation.network);
+    if wiped {
+        away.wipe();
+    }
+    storm.orders(4..=3 + changes, ms(50)).await;
+    storm.until_all_are_held().await;
+    sleep(ms(1000)).await;
+    let before = said(&storm.simulation);
+    away.start(&storm.simulation.network, false);
+    let newest = Some(3 + changes);
+    let began = Instant::now();
+    while on_disk(&away) != newest || in_force(&away) != newest {
+        assert!(began.elapsed() < CONTACT, "{changes} missed: {:?} on its disk", on_disk(&away));
+        sleep(ms(10)).await;
+    }
+    // What is said once it has it belongs to it too.
+    sleep(ms(3000)).await;
+    let bytes = said(&storm.simulation) - before;
+    println!(
+        "{changes} missed, wiped {wiped}: {bytes} bytes, up to date after {:?}",
+        began.elapsed() - ms(3000)
+    );
+    bytes
+}
+
+/// The version that a machine's disk holds.
+fn on_disk(machine: &Machine) -> Option<u64> {
+    let found = machine.storage.as_ref()?.safe.borrow().found();
+    Some(found.replica?.accepted.value.config.as_ref()?.version)
+}
+
+/// One transfer brings up whoever missed a thousand changes, or comes back empty: its size is that of the state.
+#[test]
+fn what_a_member_missed_costs_the_same_however_much_it_was() {
+    for wiped in [false, true] {
+        let [few, many] = [20, 1000].map(|changes| play(caught_up_after(changes, wiped)));
+        println!("{few} {many}");
+    }
+}
