--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -42,6 +42,23 @@
     )
 }
 
+/// A configuration with so many routes, whose packed text is some fifty bytes for each.
+pub fn wide_configuration(version: u64, routes: usize) -> String {
+    let mut rng = fastrand::Rng::with_seed(version);
+    let mut name = |len: usize| (0..len).map(|_| rng.alphanumeric()).collect::<String>();
+    let more: String = (0..routes)
+        .map(|_| {
+            format!(
+                ",{{\"name\":\"r-{}\",\"host\":\"h.example\",\"path-prefix\":\"/{}/\",\"kind\":\"idempotent\",\
+                 \"deadline-ms\":2000,\"target-ms\":200,\"priority\":1,\"service\":\"s\",\"max-tries\":2}}",
+                name(16),
+                name(24)
+            )
+        })
+        .collect();
+    configuration(version, 0).replace("}],\"services\"", &format!("}}{more}],\"services\""))
+}
+
 type Job = Box<dyn FnOnce(Rc<Agent>)>;
 
 /// The network: who listens, and which machines are cut off from the others.
@@ -52,6 +69,8 @@
     far: RefCell<BTreeSet<String>>,
     /// Machines that nothing reaches, though what they say arrives.
     deaf: RefCell<BTreeSet<String>>,
+    /// Machines that take in so many bytes a second, and until when what is on its way keeps each busy.
+    narrow: RefCell<BTreeMap<String, (u64, Instant)>>,
     /// Rises with each moment at which a machine's connections break.
     breaks: RefCell<BTreeMap<String, u32>>,
     pumps: RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>>,
@@ -69,6 +88,18 @@
         far.contains(host(from)) != far.contains(host(to)) || self.deaf.borrow().contains(host(to))
     }
 
+    pub fn narrow(&self, machine: &str, bytes_a_second: u64) {
+        self.narrow.borrow_mut().insert(machine.to_owned(), (bytes_a_second, Instant::now()));
+    }
+
+    /// What so many bytes wait for and take at the machine that they are for.
+    fn takes(&self, to: &str, bytes: usize) -> Duration {
+        let (mut narrow, now) = (self.narrow.borrow_mut(), Instant::now());
+        let Some((rate, busy)) = narrow.get_mut(host(to)) else { return Duration::ZERO };
+        *busy = now.max(*busy) + Duration::from_secs_f64(bytes as f64 / *rate as f64);
+        *busy - now
+    }
+
     pub fn deafen(&self, machine: &str) {
         self.deaf.borrow_mut().insert(machine.to_owned());
     }
@@ -105,7 +136,7 @@
     let whole = network.broken(&from, &to);
     while network.broken(&from, &to) == whole {
         let n = read.read(&mut bytes).await.unwrap_or(0);
-        sleep(WAY).await;
+        sleep(WAY + network.takes(&to, n)).await;
         while network.is_cut(&from, &to) {
             sleep(ms(20)).await;
         }
--- a/crates/node/tests/storms.rs
+++ b/crates/node/tests/storms.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use ashvane_node::agent::{Agent, Put};
-use simulation::{Machine, Simulation, configuration, ms, play};
+use simulation::{Machine, Simulation, ms, play, wide_configuration};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -32,16 +32,18 @@
     held: RefCell<BTreeMap<u64, (Instant, Instant)>>,
     unheld: RefCell<BTreeMap<u64, Instant>>,
     seen: RefCell<BTreeMap<String, BTreeSet<u64>>>,
+    /// Routes of each configuration beside the one that all have.
+    routes: usize,
 }
 
 impl Storm {
-    async fn begin(seed: u64, control_nodes: usize, gateways: usize) -> Rc<Self> {
+    async fn begin(seed: u64, control_nodes: usize, gateways: usize, routes: usize) -> Rc<Self> {
         fastrand::seed(seed);
         let simulation = Simulation::new(control_nodes, gateways, 1);
         sleep(ms(2000)).await;
         let (under_way, held, unheld, seen) = Default::default();
         let rng = fastrand::Rng::with_seed(seed).into();
-        Rc::new(Storm { simulation, rng, under_way, held, unheld, seen })
+        Rc::new(Storm { simulation, rng, under_way, held, unheld, seen, routes })
     }
 
     /// Sends an order to one control node after another, as operators do, until it is held.
@@ -52,7 +54,8 @@
         loop {
             let control_nodes = self.simulation.control_nodes();
             let at = control_nodes[self.rng.borrow_mut().usize(..control_nodes.len())].clone();
-            let put = async move |agent: Rc<Agent>| agent.put(configuration(version, 0).as_bytes()).await;
+            let text = wide_configuration(version, self.routes);
+            let put = async move |agent: Rc<Agent>| agent.put(text.as_bytes()).await;
             match at.ask(PATIENCE, put).await {
                 Some(Put::Held(held)) if held >= version => break,
                 Some(Put::Conflict { .. } | Put::Invalid(_)) => panic!("{version} is refused"),
@@ -130,8 +133,10 @@
 }
 
 /// A storm of 300 orders, ten a second, beside what `troubles` does meanwhile.
-async fn storm<F: Future<Output = ()> + 'static>(seed: u64, troubles: impl FnOnce(Rc<Simulation>) -> F) {
-    let storm = Storm::begin(seed, 5, 6).await;
+async fn storm<F: Future<Output = ()> + 'static>(
+    seed: u64, routes: usize, troubles: impl FnOnce(Rc<Simulation>) -> F,
+) {
+    let storm = Storm::begin(seed, 5, 6, routes).await;
     let checking = storm.clone();
     spawn_local(async move {
         loop {
@@ -159,7 +164,23 @@
 /// Ten a second for half a minute: all are acknowledged, and no gateway is behind for longer than a configuration may take.
 #[test]
 fn nobody_falls_behind_in_a_storm_of_configurations() {
-    play(storm(0, async |_| {}));
+    play(storm(0, 0, async |_| {}));
+}
+
+/// Bytes a second that a gateway's machine takes in: of these configurations six a second.
+const NARROW: u64 = 64_000;
+
+/// The same with a configuration of which no gateway's link carries ten a second: each skips what is overtaken, and is
+/// never behind by more than the one that is on its way.
+#[test]
+fn a_storm_wider_than_the_links_leaves_no_gateway_behind() {
+    play(storm(0, 200, async |simulation: Rc<Simulation>| {
+        simulation
+            .all()
+            .iter()
+            .filter(|m| !m.is_control_node())
+            .for_each(|m| simulation.network.narrow(&m.ip, NARROW));
+    }));
 }
 
 /// The same while a control node restarts, a gateway stands still, another is cut off and a disk is slow: whoever was not
@@ -196,14 +217,14 @@
         strike(wiped, ms(1000), &strike_off, &|| wiped.start(network, false)).await;
     };
     for seed in 0..2 {
-        play(storm(seed, troubles));
+        play(storm(seed, 0, troubles));
     }
 }
 
 /// What a member costs that was away for this many changes, or lost its disk meanwhile, in bytes about the register and
 /// the configuration: less what the same machine costs in the same time that missed none.
 async fn caught_up_after(changes: u64, wiped: bool) -> u64 {
-    let storm = Storm::begin(7, 5, 2).await;
+    let storm = Storm::begin(7, 5, 2, 0).await;
     storm.orders(1..=3, ms(50)).await;
     storm.until_all_are_held().await;
     let away = storm.simulation.all()[1].clone();
