--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,7 +17,8 @@
 use ashvane_gossip::{
     Authority, Digest, Directory, HearingTerm, Heartbeat, Node, Server, Silence, State, Update, peers,
 };
-use ashvane_quorum::{Member, Membership, Outcome, StoredConfig, Watch, duty};
+use ashvane_quorum::duty::{self, DiskReport, Limits, LiveDisk, View};
+use ashvane_quorum::{Member, Membership, Outcome, StoredConfig, Watch};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -73,6 +74,8 @@
     /// Those that were linked, and since when they are not.
     lost: RefCell<BTreeMap<String, Option<Instant>>>,
     watch: RefCell<Watch>,
+    /// What the other control nodes were told last of this process's disk.
+    reported: Cell<DiskReport>,
     wanted: RefCell<dissemination::Wanted>,
     /// The link over which this gatherer is told what changes.
     feed: Cell<Option<u64>>,
@@ -124,9 +127,9 @@
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (stored, config, confirmations, dialled, unreached, lost, watch, links, wanted) =
-            Default::default();
+        let (stored, config, confirmations, dialled, unreached, lost, links, wanted) = Default::default();
         let (verifications, answering, holding, taking) = Default::default();
+        let limits = Limits { catch_up: settings.catch_up, losses: settings.losses };
         let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
@@ -145,7 +148,8 @@
             dialled,
             unreached,
             lost,
-            watch,
+            watch: RefCell::new(Watch::new(limits)),
+            reported: Cell::default(),
             wanted,
             feed: Cell::new(None),
             compared: Cell::new(started),
@@ -194,9 +198,11 @@
             && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
     }
 
+    /// This process was told to end: it is not ready any more, and the other control nodes know.
     pub fn leave(&self) {
         if !self.leaving.replace(true) {
             info!(self.log, "leaving");
+            self.report_disk();
         }
     }
 
@@ -213,6 +219,8 @@
         self.look_at_verifications();
         self.look_at_wait();
         self.look_at_register();
+        self.report_disk();
+        self.catch_up();
         self.look_at_members();
         self.look_at_hints();
         let now = Instant::now();
--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -43,6 +43,7 @@
             let (agent, own) = (self.clone(), register.handle(&request));
             tokio::task::spawn_local(async move {
                 if let Some(response) = own.await {
+                    agent.report_disk();
                     agent.responded(number, Via::Own, response);
                 }
             });
@@ -68,13 +69,14 @@
         let (agent, own) = (self.clone(), register.handle(request));
         tokio::task::spawn_local(async move {
             if let Some(response) = own.await {
+                agent.report_disk();
                 agent.links.borrow_mut().send(link, &Message::Response { number, response });
             }
         });
     }
 
     /// The newest membership known here, if it has members.
-    fn membership(&self) -> Option<Membership> {
+    pub(super) fn membership(&self) -> Option<Membership> {
         let own = self.register.as_ref().map(|register| register.membership()).unwrap_or_default();
         let heard = self.directory.borrow().membership().clone();
         let newest = if own.epoch > heard.epoch { own } else { heard };
@@ -101,7 +103,12 @@
     /// A chosen value is in force here, and on the own disk where that missed it.
     fn is_chosen(self: &Rc<Self>, chosen: &Chosen) {
         if let Some(register) = &self.register {
-            register.learn(chosen);
+            let (agent, own) = (self.clone(), register.learn(chosen));
+            tokio::task::spawn_local(async move {
+                if own.await.is_some() {
+                    agent.report_disk();
+                }
+            });
         }
         if let Some(config) = chosen.config() {
             self.config_is(config.clone());
