--- a/crates/gossip/src/directory.rs
+++ b/crates/gossip/src/directory.rs
@@ -5,6 +5,7 @@
 
 use ashvane_quorum::Membership;
 
+use crate::departed::Departed;
 use crate::{
     Authority, BUCKETS, Buckets, Digest, HearingTerm, Node, NodeRank, Server, ServerRank, Silence, State,
     Summary, Update, bucket, hash,
@@ -18,8 +19,15 @@
 const STOOD_STILL: Duration = Duration::from_millis(1500);
 /// Time for which a gateway that is down counts among those that share a budget: it is longer than the window of any.
 const KEEPS_PART: Duration = Duration::from_secs(30);
-/// Time for which a server that ended is remembered, so that late updates cannot bring it back.
-const REMEMBERED: Duration = Duration::from_secs(600);
+/// Time for which the whole entry of a server that ended, or of a process that is down, is told to whoever lacks it. After
+/// that only its name is remembered, so that late updates cannot bring it back.
+const TOLD: Duration = Duration::from_secs(600);
+/// Time for which the whole entry of a control node that is down is kept: until then the others call it, for it may be back
+/// and know none of them.
+const LOOKED_FOR: Duration = Duration::from_secs(24 * 3600);
+/// Time after which a server that says nothing is taken for ended. One that was cut off for so long and still runs counts
+/// again after [`TOLD`]: its name is not remembered.
+const SILENT_MOST: Duration = Duration::from_secs(24 * 3600);
 
 /// What a server says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,7 +56,13 @@
     unknown: BTreeMap<String, Duration>,
     /// The highest term of the duty of hearing: what is claimed under an earlier one is void.
     hearing: HearingTerm,
+    /// Since when each server has ended whose entry is still here.
     ended: BTreeMap<String, Duration>,
+    /// Since when each server has been silent.
+    silent: BTreeMap<String, Duration>,
+    /// Servers that ended, and processes that went down, a while ago.
+    ended_before: Departed<State>,
+    down_before: Departed<NodeRank>,
     beat_every: Duration,
     ticked: Duration,
     /// Rises with each change, for those who follow it.
@@ -61,6 +75,7 @@
     pub fn new(me: Node, beat_every: Duration, now: Duration) -> Self {
         let (nodes, servers, addresses, membership, heard, down, unknown, hearing, ended) =
             Default::default();
+        let (silent, ended_before, down_before) = Default::default();
         let mut directory = Directory {
             me: me.clone(),
             nodes,
@@ -72,6 +87,9 @@
             unknown,
             hearing,
             ended,
+            silent,
+            ended_before,
+            down_before,
             beat_every,
             ticked: now,
             changes: 0,
@@ -121,9 +139,10 @@
         self.nodes.values().filter(|n| n.front && counts(n)).count()
     }
 
+    /// What is down is left out: some have forgotten it, and others have not.
     fn node_hash(node: &Node) -> u64 {
         let (age, life, down) = node.rank();
-        hash(&[node.name.as_bytes(), &age.to_le_bytes(), &life.to_le_bytes(), &[u8::from(down)]])
+        if down { 0 } else { hash(&[node.name.as_bytes(), &age.to_le_bytes(), &life.to_le_bytes()]) }
     }
 
     /// What has ended is left out: some have forgotten it, and others have not.
@@ -141,6 +160,7 @@
             self.down.remove(&node.name);
         }
         self.unknown.remove(&node.name);
+        self.down_before.remove(&node.name);
         let part = bucket(&node.name);
         self.entries[part] ^= Self::node_hash(&node);
         if let Some(before) = self.nodes.insert(node.name.clone(), node) {
@@ -149,6 +169,12 @@
         self.changes += 1;
     }
 
+    /// Whether a server that is heard has this address.
+    fn has_live_server(&self, address: &str) -> bool {
+        let held = self.addresses.get(address).and_then(|id| self.servers.get(id));
+        held.is_some_and(|s| s.state == State::Ready && !s.is_silent())
+    }
+
     /// The one place where a server's entry changes.
     fn put_server(&mut self, server: Server, now: Duration) {
         if server.state == State::Gone {
@@ -157,9 +183,14 @@
             if self.addresses.get(&server.address) == Some(&server.id) {
                 self.addresses.remove(&server.address);
             }
-        } else {
+        } else if !server.is_silent() || !self.has_live_server(&server.address) {
             self.addresses.insert(server.address.clone(), server.id.clone());
         }
+        if server.is_silent() && server.state < State::Gone {
+            self.silent.entry(server.id.clone()).or_insert(now);
+        } else {
+            self.silent.remove(&server.id);
+        }
         let part = bucket(&server.id);
         self.entries[part] ^= Self::server_hash(&server);
         if let Some(before) = self.servers.insert(server.id.clone(), server) {
@@ -226,7 +257,9 @@
                 vec![Update::Node(self.me.clone())]
             }
             Update::Node(node) => {
-                if self.nodes.get(&node.name).is_some_and(|held| held.rank() >= node.rank()) {
+                if self.nodes.get(&node.name).is_some_and(|held| held.rank() >= node.rank())
+                    || self.down_before.covers(&node.name, &node.rank())
+                {
                     return Vec::new();
                 }
                 self.put_node(node.clone(), now);
@@ -241,9 +274,16 @@
                 if !server.silence.is_valid(&self.hearing) {
                     server.silence = Silence::Heard;
                 }
-                if self.servers.get(&server.id).is_some_and(|held| held.rank() >= server.rank()) {
+                if self.servers.get(&server.id).is_some_and(|held| held.rank() >= server.rank())
+                    || self.ended_before.covers(&server.id, &server.state)
+                {
                     return told;
                 }
+                let held = self.servers.get(&server.id).filter(|_| server.service.is_empty());
+                if let Some(held) = held.filter(|_| server.state == State::Gone) {
+                    // Told by one that knows only its name.
+                    server = Server { state: State::Gone, ..held.clone() };
+                }
                 told.extend(self.take_address(&server.id, &server.address, server.state, now));
                 self.put_server(server.clone(), now);
                 told.push(Update::Server(server));
@@ -271,7 +311,7 @@
     pub fn beat(&mut self, beat: Heartbeat, now: Duration) -> Vec<Update> {
         let known = self.servers.get(&beat.id);
         let late = self.heard.get(&beat.id).is_some_and(|(_, seq)| *seq >= beat.seq);
-        if known.is_some_and(|s| s.state == State::Gone) {
+        if known.is_some_and(|s| s.state == State::Gone) || self.ended_before.covers(&beat.id, &beat.state) {
             return Vec::new();
         }
         let seq = known.map_or(beat.seq, |s| s.seq.max(beat.seq));
@@ -304,24 +344,29 @@
 
     /// A server has said that it ends. One that nobody knows is remembered as ended all the same.
     pub fn left(&mut self, id: &str, now: Duration) -> Vec<Update> {
-        let blank = || Server {
+        let blank = || Server { state: State::Ready, ..self.ended_server(id) };
+        let server = self.servers.get(id).cloned().unwrap_or_else(blank);
+        if server.state == State::Gone || self.ended_before.rank(id).is_some() {
+            return Vec::new();
+        }
+        let server = Server { state: State::Gone, silence: Silence::Heard, ..server };
+        self.put_server(server.clone(), now);
+        vec![Update::Server(server)]
+    }
+
+    /// A server of which only the name is known, and that it has ended.
+    fn ended_server(&self, id: &str) -> Server {
+        Server {
             id: id.to_owned(),
             service: String::new(),
             address: String::new(),
             zone: String::new(),
             capacity: 0,
-            state: State::Ready,
+            state: State::Gone,
             seq: 0,
             silence: Silence::Heard,
             keeper: self.me.name.clone(),
-        };
-        let server = self.servers.get(id).cloned().unwrap_or_else(blank);
-        if server.state == State::Gone {
-            return Vec::new();
         }
-        let server = Server { state: State::Gone, ..server };
-        self.put_server(server.clone(), now);
-        vec![Update::Server(server)]
     }
 
     /// A process that is watched from here does not answer.
@@ -360,15 +405,35 @@
         }
     }
 
-    fn forget_ended(&mut self, now: Duration) {
-        let kept = |at: &Duration| *at + REMEMBERED > now;
-        let forgotten: BTreeSet<_> =
-            self.ended.iter().filter(|(_, at)| !kept(at)).map(|(id, _)| id.clone()).collect();
-        if forgotten.is_empty() {
-            return;
+    /// Of what has been gone for a while only the names are kept, and of those only the latest.
+    fn forget_gone(&mut self, now: Duration) {
+        let ended = self.ended.iter().filter(|(_, at)| **at + TOLD <= now);
+        for id in ended.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.ended.remove(&id);
+            // One that was only missed may still run, and counts again from its next heartbeat on.
+            if self.servers.remove(&id).is_some_and(|server| !server.is_silent()) {
+                self.ended_before.add(id, State::Gone, now);
+            }
         }
-        self.ended.retain(|_, at| kept(at));
-        self.servers.retain(|id, _| !forgotten.contains(id));
+        let has_disk = |name: &str| self.nodes.get(name).is_some_and(|n| n.disk.is_some());
+        let kept = |name: &str| if has_disk(name) { LOOKED_FOR } else { TOLD };
+        let down = self.down.iter().filter(|(name, at)| **at + kept(name) <= now && **name != self.me.name);
+        for name in down.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            self.down.remove(&name);
+            if let Some(node) = self.nodes.remove(&name) {
+                self.down_before.add(name, node.rank(), now);
+            }
+        }
+        self.ended_before.forget(now);
+        self.down_before.forget(now);
+    }
+
+    /// Whether a server that is silent has ended for certain: another one is heard at its address, or it has said nothing
+    /// for longer than any cut lasts.
+    fn has_ended(&self, server: &Server, now: Duration) -> bool {
+        let Some(since) = self.silent.get(&server.id) else { return false };
+        // It is not the one itself, which is silent.
+        *since + SILENT_MOST <= now || self.has_live_server(&server.address)
     }
 
     /// Looks for servers that fell silent, as far as this process may say so.
@@ -379,7 +444,7 @@
             // Nobody could be heard: missed heartbeats are counted anew.
             self.heard.values_mut().for_each(|(at, _)| *at = now);
         }
-        self.forget_ended(now);
+        self.forget_gone(now);
         if *authority == Authority::None {
             return Vec::new();
         }
@@ -399,6 +464,10 @@
                 silent.push(Server { silence: Silence::Claimed(term.clone()), ..s.clone() });
             }
         }
+        let speaks_for = |s: &Server| s.keeper == self.me.name || matches!(authority, Authority::Holder(_));
+        let ended = self.silent.keys().filter_map(|id| self.servers.get(id));
+        let ended = ended.filter(|s| speaks_for(s) && self.has_ended(s, now));
+        silent.extend(ended.map(|s| Server { state: State::Gone, ..s.clone() }).collect::<Vec<_>>());
         for server in &silent {
             self.put_server(server.clone(), now);
         }
@@ -424,7 +493,7 @@
     pub fn summary(&self, parts: u32) -> Summary {
         let within = |name: &str| parts & (1 << bucket(name)) != 0;
         let servers = self.servers.iter().filter(|(id, s)| s.state < State::Gone && within(id));
-        let nodes = self.nodes.iter().filter(|(name, _)| within(name));
+        let nodes = self.nodes.iter().filter(|(name, n)| !n.down && within(name));
         Summary {
             parts,
             nodes: nodes.map(|(name, n)| (name.clone(), n.rank())).collect(),
@@ -437,8 +506,11 @@
     /// What is newer here than what another knows, in the parts that it speaks of.
     pub fn newer_than(&self, summary: &Summary) -> Vec<Update> {
         let within = |name: &str| summary.parts & (1 << bucket(name)) != 0;
-        let newer = |n: &&Node| within(&n.name) && summary.nodes.get(&n.name).is_none_or(|r| *r < n.rank());
-        let nodes = self.nodes.values().filter(newer);
+        let nodes = self.nodes.values().filter(|n| match summary.nodes.get(&n.name) {
+            Some(rank) => *rank < n.rank(),
+            // It may have forgotten what is down.
+            None => within(&n.name) && (!n.down || self.is_told(&n.name)),
+        });
         let servers = self.servers.values().filter(|s| match summary.servers.get(&s.id) {
             Some(rank) => *rank < s.rank(),
             // It may have forgotten what ended.
@@ -448,7 +520,44 @@
             (summary.epoch < self.membership.epoch).then(|| Update::Membership(self.membership.clone()));
         let hearing = (summary.hearing < self.hearing).then(|| Update::Hearing(self.hearing.clone()));
         let nodes = nodes.cloned().map(Update::Node);
-        nodes.chain(servers.cloned().map(Update::Server)).chain(membership).chain(hearing).collect()
+        let ended = summary.servers.keys().filter(|id| self.ended_before.rank(id).is_some());
+        let ended = ended.map(|id| Update::Server(self.ended_server(id)));
+        let servers = servers.cloned().map(Update::Server).chain(ended);
+        nodes.chain(servers).chain(membership).chain(hearing).collect()
+    }
+
+    /// Whether a process went down so lately that others are told of it.
+    fn is_told(&self, name: &str) -> bool {
+        self.down.get(name).is_some_and(|at| *at + TOLD > self.ticked)
+    }
+
+    /// What is to be said against an update that is older than what is known here: of what is down or has ended no digest
+    /// speaks, so that whoever tells of it as running would not hear otherwise.
+    pub fn against(&self, update: &Update) -> Option<Update> {
+        match update {
+            Update::Node(node) => {
+                let rank = match self.nodes.get(&node.name) {
+                    Some(held) => held.rank(),
+                    None => *self.down_before.rank(&node.name)?,
+                };
+                let (age, life, down) = rank;
+                let is_older = down && rank > node.rank();
+                is_older.then(|| Update::Node(Node { age, life, down, ..node.clone() }))
+            }
+            Update::Server(server) if server.state < State::Gone => match self.servers.get(&server.id) {
+                Some(held) => (held.state == State::Gone).then(|| Update::Server(held.clone())),
+                None => {
+                    let ended = self.ended_before.rank(&server.id).is_some();
+                    ended.then(|| Update::Server(self.ended_server(&server.id)))
+                }
+            },
+            _ => None,
+        }
+    }
+
+    /// How many names of what is gone are remembered beside the entries.
+    pub fn remembered(&self) -> usize {
+        self.ended_before.len() + self.down_before.len()
     }
 
     /// Whether an update is in force here, or something that stands above it. A term of the duty of hearing is in
@@ -458,7 +567,7 @@
             Update::Node(node) => self.nodes.get(&node.name).is_some_and(|n| n.rank() >= node.rank()),
             Update::Server(server) => match self.servers.get(&server.id) {
                 Some(held) => held.rank() >= server.rank(),
-                None => server.state == State::Gone,
+                None => server.state == State::Gone || self.ended_before.rank(&server.id).is_some(),
             },
             Update::Membership(membership) => self.membership.epoch >= membership.epoch,
             Update::Hearing(term) => self.hearing == *term,
@@ -467,9 +576,14 @@
 
     /// Whether another knows something newer than this one does.
     pub fn is_behind(&self, summary: &Summary) -> bool {
-        let node = |(name, rank): (&String, &NodeRank)| self.nodes.get(name).is_none_or(|n| n.rank() < *rank);
-        let server =
-            |(id, rank): (&String, &ServerRank)| self.servers.get(id).is_none_or(|s| s.rank() < *rank);
+        let node = |(name, rank): (&String, &NodeRank)| match self.nodes.get(name) {
+            Some(node) => node.rank() < *rank,
+            None => !self.down_before.covers(name, rank),
+        };
+        let server = |(id, rank): (&String, &ServerRank)| match self.servers.get(id) {
+            Some(server) => server.rank() < *rank,
+            None => self.ended_before.rank(id).is_none(),
+        };
         summary.epoch > self.membership.epoch
             || summary.hearing > self.hearing
             || summary.nodes.iter().any(node)
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! [`Directory`] is the state, without I/O or a clock; [`peers`] says who talks to whom.
 
+mod departed;
 mod directory;
 mod hearing;
 mod peers;
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -22,6 +22,7 @@
     pub(super) fn look_at_links(self: &Rc<Self>) {
         let now = Instant::now();
         self.unreached.borrow_mut().retain(|_, until| *until > now);
+        self.dialled.borrow_mut().retain(|_, at| *at + DIAL_AGAIN > now);
         let wanted: Vec<String> = {
             let (directory, unreached, links) =
                 (self.directory.borrow(), self.unreached.borrow(), self.links.borrow());
@@ -147,7 +148,9 @@
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
         let control_node = peer.disk.is_some();
-        self.learn(vec![Update::Node(peer)], Some(number));
+        let known = [Update::Node(peer)];
+        self.say_against(number, &known);
+        self.learn(known.into(), Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
         self.ask_for_verification();
         self.confirm_again();
@@ -162,6 +165,7 @@
             Message::Hello(_) | Message::Packed(_) => {}
             Message::Update { number: asked, updates } => {
                 let wanted = (asked > 0).then(|| updates.clone());
+                self.say_against(number, &updates);
                 self.learn(updates, Some(number));
                 if let Some(updates) = wanted {
                     let directory = self.directory.borrow();
--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -47,6 +47,15 @@
         plane.gatherers_are(directory.fronts(self.now()));
     }
 
+    /// Whoever tells of what is down or has ended as if it ran is told so.
+    pub(super) fn say_against(&self, link: u64, updates: &[Update]) {
+        let directory = self.directory.borrow();
+        let against: Vec<Update> = updates.iter().filter_map(|update| directory.against(update)).collect();
+        if !against.is_empty() {
+            self.links.borrow_mut().send(link, &Message::Update { number: 0, updates: against });
+        }
+    }
+
     pub(super) fn learn(&self, updates: Vec<Update>, from: Option<u64>) {
         let now = self.now();
         let told: Vec<Update> = {
--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -333,9 +333,14 @@
         let mut changed = Vec::new();
         for s in listed {
             let health = health(s);
-            let before = self.known.borrow().get(&s.id).map(|(_, health)| *health);
-            if before != Some(health) {
-                self.known.borrow_mut().insert(s.id.clone(), ((*s).clone(), health));
+            let mut known = self.known.borrow_mut();
+            let before = known.get(&s.id).map(|(_, health)| *health);
+            // Of one that has ended nothing is kept.
+            if s.state == State::Gone {
+                known.remove(&s.id);
+                changed.extend(before.map(|_| (*s, health)));
+            } else if before != Some(health) {
+                known.insert(s.id.clone(), ((*s).clone(), health));
                 changed.push((*s, health));
             }
         }
