--- a/crates/node/src/agent/report.rs
+++ b/crates/node/src/agent/report.rs
@@ -30,16 +30,19 @@
             .servers()
             .filter(|s| s.state < State::Gone)
             .map(|s| {
-                json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.silent,
+                json!({"server": s.id, "service": s.service, "state": s.state, "silent": s.is_silent(),
                     "zone": s.zone, "address": s.address, "heard by": s.keeper, "beat": s.seq})
             })
             .collect();
-        let membership: Vec<Value> = directory
-            .membership()
-            .members
-            .iter()
-            .map(|s| json!({"disk": s.disk, "address": s.address}))
-            .collect();
+        // What each member has said of its own disk; nothing where it is out of sight, or this is a gateway.
+        let live = self.live_disks();
+        let report = |m: &Member| live.iter().find(|l| l.member.disk == m.disk).and_then(|l| l.report);
+        let member = |m: &Member| {
+            let report = report(m);
+            json!({"disk": m.disk, "address": m.address, "epoch": report.map(|r| r.held.epoch),
+                "version": report.map(|r| r.held.version), "leaving": report.map(|r| r.leaving)})
+        };
+        let membership: Vec<Value> = directory.membership().members.iter().map(member).collect();
         let since = self.in_force_since.get().map(|at| at.elapsed().as_secs());
         let said = self.said().into_iter();
         let said: Vec<Value> = said
@@ -47,12 +50,13 @@
             .collect();
         json!({
             "process": {"node": directory.me().name, "leaving": self.leaving.get(), "ready": self.is_ready(),
-                "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
+                "in contact": self.in_contact(), "up for s": self.started.elapsed().as_secs(), "fed by": feed, "links": links.iter().count()},
             "configuration": {"version": self.version(), "in force for s": since,
                 "on this disk": self.register.as_ref().and_then(|r| r.stored()).map(|f| f.version)},
             "duties": [
-                {"duty": "set of disks", "epoch": directory.membership().epoch, "held here": self.has_seats_duty()},
-                {"duty": "servers of lost control_nodes", "epoch": null, "held here": self.is_control_node() && self.is_first()},
+                {"duty": "set of disks", "epoch": directory.membership().epoch, "held here": self.holds_membership()},
+                {"duty": "servers of lost control nodes", "epoch": directory.hearing().epoch,
+                    "term": directory.hearing().round, "held here": self.holds_hearing()},
             ],
             "said": said, "disks": membership, "nodes": nodes, "servers": servers,
             "allotments": self.plane.as_ref().map_or(Value::Array(Vec::new()), |plane| plane.allotments()),
@@ -66,7 +70,7 @@
         info!(self.log, "counters"; "nodes" => directory.nodes().filter(|n| !n.down).count(),
             "servers" => directory.servers().filter(|s| s.state < State::Gone).count(),
             "links" => links.iter().count(), "version" => self.version(), "epoch" => directory.membership().epoch,
-            "lines_in" => c.lines_in, "unread" => c.unread, "lost" => c.lost,
+            "lines_in" => c.lines_in, "unread" => c.unread, "unasked" => c.unasked, "lost" => c.lost,
             "said" => c.out.iter().map(|(cause, (lines, bytes))| format!("{cause}:{lines}:{bytes}"))
                 .collect::<Vec<_>>().join(","));
         if let Some(plane) = &self.plane {
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Buckets, Digest, Node, Summary, Update};
+use ashvane_quorum::duty::DiskReport;
 use ashvane_quorum::{Request, Response, StoredConfig};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt as _, AsyncRead, AsyncWrite, AsyncWriteExt as _, BufReader};
@@ -37,8 +38,11 @@
         number: u64,
         updates: Vec<Update>,
     },
+    /// The answer: whether they are in force there, and the epoch of the membership that is known there.
     Got {
         number: u64,
+        taken: bool,
+        epoch: u64,
     },
     Digest(Digest),
     /// Where digests differ: those of each part.
@@ -61,6 +65,17 @@
         number: u64,
         response: Response,
     },
+    /// A gateway that starts asks a control node to compare itself with a majority of the members.
+    Verify {
+        number: u64,
+    },
+    /// The answer, after a read of the register that began after the question: what is known there now.
+    Verified {
+        number: u64,
+        digest: Digest,
+    },
+    /// What a control node says of its own disk to the others: at first and whenever it changes.
+    Disk(DiskReport),
     /// Another line, deflated: where many entries go at once they are much alike.
     Packed(String),
 }
@@ -74,7 +89,8 @@
             Message::Digest(_) => "digests",
             Message::Buckets(_) | Message::Summary(_) => "gaps",
             Message::Want { .. } | Message::Config(_) => "configuration",
-            Message::Request { .. } | Message::Response { .. } => "register",
+            Message::Request { .. } | Message::Response { .. } | Message::Disk(_) => "register",
+            Message::Verify { .. } | Message::Verified { .. } => "readiness",
             Message::Packed(_) => "packed",
         }
     }
@@ -113,6 +129,40 @@
     pub fed: bool,
     /// How many times in a row its digest differed.
     pub differs: u32,
+    /// All that the other side knew has been taken in once, since its last answer to a question where it was asked.
+    pub compared: bool,
+    /// The other side has said that it is in contact with no majority of the members.
+    pub alone: bool,
+    /// The question whether the other side is in contact with a majority: its number, and when it was asked.
+    pub verifying: Option<(u64, Instant)>,
+    /// The version that was in force there when it had compared itself with a majority, after that question.
+    pub verified: Option<u64>,
+    /// What the process at the other end has said of its disk.
+    pub disk: Option<DiskReport>,
+    /// Configurations that were asked for here and have not come.
+    wanted: u32,
+}
+
+impl Link {
+    fn asked(&mut self, message: &Message) {
+        self.wanted = self.wanted.saturating_add(u32::from(matches!(message, Message::Want { .. })));
+    }
+
+    /// A configuration counts only on the link that it was asked for on, and so from the life that was asked: each
+    /// connection is to one life. Other answers are bound to their links by whoever asks.
+    fn admits(&mut self, message: &Message) -> bool {
+        if !matches!(message, Message::Config(_)) {
+            return true;
+        }
+        let wanted = self.wanted > 0;
+        self.wanted = self.wanted.saturating_sub(1);
+        wanted
+    }
+
+    /// Whether something was heard of late. After a standstill a connection may still be open that is long dead.
+    pub fn is_heard(&self) -> bool {
+        self.heard.elapsed() < SILENT
+    }
 }
 
 /// Counters of what was said.
@@ -122,6 +172,8 @@
     pub out: BTreeMap<&'static str, (u64, u64)>,
     pub lines_in: u64,
     pub unread: u64,
+    /// Answers that nobody had asked for where they came.
+    pub unasked: u64,
     pub lost: u64,
 }
 
@@ -175,10 +227,11 @@
         self.send_all(&[number], line);
     }
 
-    fn send_text(&mut self, number: u64, text: Rc<str>, cause: &'static str) {
-        let Some(link) = self.links.get(&number) else { return };
-        let (lines, bytes) = self.counters.out.entry(cause).or_default();
+    fn send_text(&mut self, number: u64, text: Rc<str>, line: &Message) {
+        let Some(link) = self.links.get_mut(&number) else { return };
+        let (lines, bytes) = self.counters.out.entry(line.cause()).or_default();
         (*lines, *bytes) = (*lines + 1, *bytes + text.len() as u64);
+        link.asked(line);
         if link.lines.try_send(text).is_err() {
             self.close(number);
         }
@@ -190,7 +243,7 @@
             return;
         }
         let Some(text) = written(line) else { return };
-        numbers.iter().for_each(|number| self.send_text(*number, text.clone(), line.cause()));
+        numbers.iter().for_each(|number| self.send_text(*number, text.clone(), line));
     }
 }
 
@@ -257,7 +310,21 @@
     };
     let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
     let now = Instant::now();
-    let link = Link { peer, ours, since: now, lines, heard: now, fed: false, differs: 0 };
+    let link = Link {
+        peer,
+        ours,
+        since: now,
+        lines,
+        heard: now,
+        fed: false,
+        differs: 0,
+        compared: false,
+        alone: false,
+        verifying: None,
+        verified: None,
+        disk: None,
+        wanted: 0,
+    };
     let number = listener.links().borrow_mut().open(link);
     listener.linked(number);
     let reading = async {
@@ -269,15 +336,20 @@
             if bytes.capacity() > 64 * 1024 {
                 bytes = Vec::new();
             }
-            {
+            let admitted = {
                 let mut links = listener.links().borrow_mut();
                 links.counters.lines_in += 1;
                 links.counters.unread += u64::from(read.is_none());
                 let Some(link) = links.get_mut(number) else { return };
                 link.heard = Instant::now();
-            }
+                let admitted = read.as_ref().is_none_or(|line| link.admits(line));
+                links.counters.unasked += u64::from(!admitted);
+                admitted
+            };
             let Some(line) = read else { return };
-            listener.heard(number, line);
+            if admitted {
+                listener.heard(number, line);
+            }
         }
     };
     let writing = async {
@@ -315,12 +387,15 @@
 
 #[cfg(test)]
 mod tests {
+    use ashvane_gossip::{ServerRank, Silence, State};
+
     use super::*;
 
     #[test]
     fn long_lines_are_packed_and_read_as_they_were() {
+        let rank = |seq| ServerRank { state: State::Ready, seq, silence: Silence::Heard };
         let summary = Summary {
-            servers: (0..100).map(|n| (format!("i-{n}"), (ashvane_gossip::State::Ready, n, false))).collect(),
+            servers: (0..100).map(|n| (format!("i-{n}"), rank(n))).collect(),
             ..Summary::default()
         };
         for (line, packed) in [(Message::Summary(summary), true), (Message::Feed(true), false)] {
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -2,15 +2,19 @@
 //! server than this gatherer's part of what it takes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri, header};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -33,6 +37,33 @@
 /// The longest answer that is read, in bytes.
 const ANSWER_MOST: usize = 16 << 20;
 
+/// A connection's bytes both ways, whatever carries them.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> Stream for T {}
+
+/// A connection to a server that is coming up.
+pub type Connecting = Pin<Box<dyn Future<Output = io::Result<Box<dyn Stream>>>>>;
+
+/// What lies between a gateway and the servers.
+pub trait Connector {
+    fn connect(&self, address: &str) -> Connecting;
+}
+
+/// The network that the servers are on.
+pub struct Tcp;
+
+impl Connector for Tcp {
+    fn connect(&self, address: &str) -> Connecting {
+        let address = address.to_owned();
+        Box::pin(async move {
+            let stream = TcpStream::connect(&address).await?;
+            let _ = stream.set_nodelay(true);
+            Ok(Box::new(stream) as _)
+        })
+    }
+}
+
 /// A client's request as it is handed on: the same for every server.
 pub struct Asked {
     pub method: Method,
@@ -42,6 +73,8 @@
     pub attempt: HeaderValue,
     /// It must not run twice, so nothing that breaks off can be sent again.
     pub once: bool,
+    /// Servers that it was sent to.
+    pub sent_to: RefCell<BTreeSet<Rc<str>>>,
 }
 
 /// A server's whole answer to this request.
@@ -86,8 +119,8 @@
     pub foreign: Cell<u64>,
 }
 
-#[derive(Default)]
 pub struct Pool {
+    connector: Rc<dyn Connector>,
     targets: RefCell<BTreeMap<Rc<str>, Rc<Target>>>,
     pub counters: Rc<Counters>,
 }
@@ -139,6 +172,57 @@
     kept.checked_sub(IDLE_MARGIN).filter(|kept| !kept.is_zero())
 }
 
+/// The value of a header that stands there once; none if it does not, or more than once.
+pub fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
+/// Whether the answer itself tells where its body ends. One that ends with its connection looks whole wherever it
+/// breaks off.
+fn tells_its_end(headers: &HeaderMap, body: &Incoming) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last = codings.and_then(|codings| codings.to_str().ok()?.rsplit(',').next());
+    let chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    chunked || body.size_hint().exact().is_some()
+}
+
+/// Statuses that promise clients that their request has not run and never will.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// What a whole answer to this request counts for. That the request did not run is only ever the server's word, given
+/// with a failure: 421, or `Not-Executed`.
+fn judge(answer: Answer) -> Result<Answer, CallError> {
+    let (status, headers) = (answer.status, &answer.headers);
+    let fails = status.is_client_error() || status.is_server_error();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(CallError::OtherServer);
+    }
+    if headers.contains_key(NOT_EXECUTED) {
+        return Err(match fails {
+            true => CallError::TurnedAway { status: status.as_u16() },
+            false => CallError::Unusable { what: "a success that did not run" },
+        });
+    }
+    if is_promise(status) {
+        return Err(CallError::Failed { status: status.as_u16() });
+    }
+    let one = |seal: &HeaderValue| !seal.is_empty() && !seal.as_bytes().contains(&b',');
+    let sealed = only(headers, &SERVER_SEAL).is_some_and(one);
+    if status.is_success() && (headers.contains_key(header::CONTENT_ENCODING) || !sealed) {
+        return Err(CallError::Unusable { what: "not the body of the server" });
+    }
+    Ok(answer)
+}
+
 impl Target {
     /// The connection that fell idle last. A server may have forgotten one that has stood for a while, and then
     /// resets what is sent on it: what must not run twice would be lost, so it takes only one just used.
@@ -170,22 +254,21 @@
     }
 
     async fn connect(
-        self: &Rc<Self>, limit: Duration, counters: &Counters,
+        self: &Rc<Self>, limit: Duration, pool: &Pool,
     ) -> Result<SendRequest<Full<Bytes>>, CallError> {
         if self.open.get() >= self.most.get() {
             return Err(CallError::NoRoom { address: self.address.clone() });
         }
         self.open.set(self.open.get() + 1);
         let open = Open(self.clone());
-        bump(&counters.connects);
+        bump(&pool.counters.connects);
         let within = CONNECT.min(limit);
         let failed = || CallError::NoConnection { address: self.address.clone(), within };
-        let connected = timeout(within, TcpStream::connect(&self.address)).await;
+        let connected = timeout(within, pool.connector.connect(&self.address)).await;
         let Ok(Ok(stream)) = connected else {
-            bump(&counters.refused);
+            bump(&pool.counters.refused);
             return Err(failed());
         };
-        let _ = stream.set_nodelay(true);
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed())?;
         tokio::task::spawn_local(async move {
             let _open = open;
@@ -195,16 +278,17 @@
     }
 
     /// Sends a request and reads the answer whole.
-    async fn send(
-        self: &Rc<Self>, asked: &Asked, limit: Duration, counters: &Counters,
-    ) -> Result<Answer, CallError> {
+    async fn send(self: &Rc<Self>, asked: &Asked, limit: Duration, pool: &Pool) -> Result<Answer, CallError> {
         let until = Instant::now() + limit;
-        let mut sender = match self.take_idle(asked.once) {
+        // A connection that has carried it may still bring a surplus answer to that call, under the same id.
+        let first = asked.sent_to.borrow_mut().insert(self.id.clone());
+        let idle = if first { self.take_idle(asked.once) } else { None };
+        let mut sender = match idle {
             Some(sender) => {
-                bump(&counters.reused);
+                bump(&pool.counters.reused);
                 sender
             }
-            None => self.connect(limit, counters).await?,
+            None => self.connect(limit, pool).await?,
         };
         let left = until.saturating_duration_since(Instant::now()).as_millis();
         let mut request = Request::new(Full::new(asked.body.clone()));
@@ -226,33 +310,31 @@
             }
         };
         let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            return Err(CallError::Unusable { what: "another protocol" });
+        }
         // A surplus answer to an earlier request stands where this one's is due.
-        if head.headers.get(ATTEMPT_ID) != Some(&asked.attempt) {
-            bump(&counters.foreign);
+        if only(&head.headers, &ATTEMPT_ID) != Some(&asked.attempt) {
+            bump(&pool.counters.foreign);
             return Err(CallError::Unusable { what: "an answer to another request" });
         }
+        if !tells_its_end(&head.headers, &body) {
+            return Err(CallError::Unusable { what: "an answer that does not tell where it ends" });
+        }
         let collected = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
         let body = collected.map_err(|_| CallError::TimedOut)?.map_err(|_| CallError::Broken)?.to_bytes();
         if let Some(kept) = kept_for(&head.headers) {
             self.give_back(sender, kept);
         }
-        let answer = Answer { status: head.status, headers: head.headers, body };
-        let status = answer.status.as_u16();
-        if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(CallError::OtherServer);
-        }
-        if answer.headers.contains_key(NOT_EXECUTED) {
-            return Err(CallError::TurnedAway { status });
-        }
-        let encoded = answer.headers.contains_key(header::CONTENT_ENCODING);
-        if answer.status.is_success() && (encoded || !answer.headers.contains_key(SERVER_SEAL)) {
-            return Err(CallError::Unusable { what: "not the body of the server" });
-        }
-        Ok(answer)
+        judge(Answer { status: head.status, headers: head.headers, body })
     }
 }
 
 impl Pool {
+    pub fn new(connector: Rc<dyn Connector>) -> Self {
+        Pool { connector, targets: RefCell::default(), counters: Rc::default() }
+    }
+
     /// A server that may be sent requests, and how many connections it may have from here.
     pub fn is_there(&self, id: &str, address: &str, most: usize) {
         let mut targets = self.targets.borrow_mut();
@@ -284,7 +366,7 @@
     pub async fn send(&self, id: &str, asked: &Asked, limit: Duration) -> Result<Answer, CallError> {
         let target = self.targets.borrow().get(id).cloned();
         match target {
-            Some(target) => target.send(asked, limit, &self.counters).await,
+            Some(target) => target.send(asked, limit, self).await,
             None => Err(CallError::NeverSent),
         }
     }
@@ -304,7 +386,7 @@
     #[tokio::test(start_paused = true)]
     async fn what_must_not_run_twice_takes_no_connection_that_rested() {
         let test = async {
-            let pool = Pool::default();
+            let pool = Pool::new(Rc::new(Tcp));
             pool.is_there("i-1", "127.0.0.1:1", 4);
             let target = pool.targets.borrow()["i-1"].clone();
             let (near, _far) = tokio::io::duplex(1024);
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -10,13 +10,14 @@
 
 use ashvane_node::agent::{Agent, TICK};
 use ashvane_node::disk::{Disk, Whole};
+use ashvane_node::front::Door;
 use ashvane_node::links::{self, Dialled, Net, Ways};
-use ashvane_node::program::{node, replica};
+use ashvane_node::program::{Departure, node, replica};
 use ashvane_node::register::Register;
 use ashvane_node::settings::Settings;
 use slog::{Discard, Drain, KV as _, Logger, OwnedKVList, Record, o};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, interval, sleep, timeout};
 
@@ -28,6 +29,8 @@
 const WAY: Duration = ms(4);
 /// What a sync takes.
 const SYNC: Duration = ms(5);
+/// Time between a process being told to end and its end by force.
+pub const GRACE: Duration = ms(6000);
 /// Bytes that wait in a connection.
 const WINDOW: usize = 64 << 10;
 
@@ -72,6 +75,8 @@
     next_cut: Cell<u64>,
     /// What a message may take longer than [`WAY`], each a time of its own.
     pub jitter: Cell<Duration>,
+    /// Ways between two machines that carry nothing, by their addresses.
+    severed: RefCell<BTreeSet<(String, String)>>,
     /// Rises with each moment at which a machine's connections break.
     breaks: RefCell<BTreeMap<String, u32>>,
     pumps: RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>>,
@@ -93,7 +98,26 @@
 impl Network {
     /// Whether what one machine says does not reach another.
     fn is_cut(&self, from: &str, to: &str) -> bool {
-        self.cuts.borrow().values().any(|cut| cut.stops(host(from), host(to)))
+        let way = (host(from).to_owned(), host(to).to_owned());
+        self.severed.borrow().contains(&way)
+            || self.cuts.borrow().values().any(|cut| cut.stops(&way.0, &way.1))
+    }
+
+    /// What one machine says no longer reaches another; the way back is left as it is.
+    pub fn sever(&self, from: &str, to: &str) {
+        self.severed.borrow_mut().insert((from.to_owned(), to.to_owned()));
+    }
+
+    /// Neither of two machines reaches the other.
+    pub fn part(&self, a: &str, b: &str) {
+        self.sever(a, b);
+        self.sever(b, a);
+    }
+
+    /// All reach each other again.
+    pub fn mend_all(&self) {
+        self.cuts.borrow_mut().clear();
+        self.severed.borrow_mut().clear();
     }
 
     pub fn break_all(&self, machine: &str) {
@@ -183,9 +207,10 @@
     pub sync: Rc<Cell<Duration>>,
 }
 
-/// A process and all of its tasks: it can be frozen, and is gone whole when it is dropped.
+/// A process and all of its tasks: it can be frozen, and is gone whole when it is dropped or has ended.
 struct Body {
     tasks: LocalSet,
+    ended: Rc<Cell<bool>>,
     frozen: Rc<Cell<bool>>,
     waker: Rc<RefCell<Option<Waker>>>,
 }
@@ -195,7 +220,11 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         *self.waker.borrow_mut() = Some(cx.waker().clone());
-        if self.frozen.get() { Poll::Pending } else { Pin::new(&mut self.tasks).poll(cx) }
+        if self.frozen.get() {
+            return Poll::Pending;
+        }
+        let all_done = Pin::new(&mut self.tasks).poll(cx);
+        if self.ended.get() { Poll::Ready(()) } else { all_done }
     }
 }
 
@@ -214,6 +243,9 @@
     /// Taken away for good.
     pub gone: Cell<bool>,
     body: RefCell<Option<JoinHandle<()>>>,
+    /// Told to end.
+    terminated: RefCell<Rc<Notify>>,
+    ended: Rc<Cell<bool>>,
     frozen: Rc<Cell<bool>>,
     /// Rises whenever the process is started, killed, frozen or thawed.
     disturbed: Cell<u32>,
@@ -238,6 +270,12 @@
         self.storage.is_some() && !self.gone.get()
     }
 
+    /// Its settings name these machines from its next start on.
+    #[allow(dead_code, reason = "not all tests that share the simulation change settings")]
+    pub fn name_seeds(&self, seeds: &[Rc<Machine>]) {
+        *self.seeds.borrow_mut() = seeds.iter().map(|m| format!("{}:8047", m.ip)).collect();
+    }
+
     pub fn freeze(&self, frozen: bool) {
         self.disturbed.set(self.disturbed.get() + 1);
         self.frozen.set(frozen);
@@ -266,6 +304,19 @@
         network.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
     }
 
+    /// The process is told to end, and ended if it takes longer than the platform waits. How long it took; none if it
+    /// was ended.
+    pub async fn terminate(&self, network: &Network) -> Option<Duration> {
+        let told = Instant::now();
+        self.terminated.borrow().notify_one();
+        while !self.ended.get() && told.elapsed() < GRACE {
+            sleep(ms(10)).await;
+        }
+        let took = self.ended.get().then(|| told.elapsed());
+        self.kill(network);
+        took
+    }
+
     /// While this stands as it is and is there, the process runs and was not held up.
     pub fn undisturbed(&self) -> Option<u32> {
         (self.agent().is_some() && !self.frozen.get()).then(|| self.disturbed.get())
@@ -310,15 +361,17 @@
         let settings = Settings::parse(&text, "-").expect("settings");
         let tasks = LocalSet::new();
         let life = (u64::from(self.life.get()) << 32) | u64::from(fastrand::u32(..));
-        tasks.spawn_local(process(
-            settings,
-            life,
-            self.storage.clone(),
-            network.clone(),
-            self.agent.clone(),
-            todo,
-        ));
-        let body = Body { tasks, frozen: self.frozen.clone(), waker: self.waker.clone() };
+        self.ended.set(false);
+        let (agent, terminated, ended) = (self.agent.clone(), Rc::new(Notify::new()), self.ended.clone());
+        *self.terminated.borrow_mut() = terminated.clone();
+        let orders = Orders { todo, terminated };
+        let running = process(settings, life, self.storage.clone(), network.clone(), agent, orders);
+        tasks.spawn_local(async move {
+            running.await;
+            ended.set(true);
+        });
+        let ended = self.ended.clone();
+        let body = Body { tasks, ended, frozen: self.frozen.clone(), waker: self.waker.clone() };
         *self.body.borrow_mut() = Some(spawn_local(body));
         *self.jobs.borrow_mut() = Some(jobs);
     }
@@ -361,10 +414,16 @@
     }
 }
 
+/// What a process is told from outside.
+struct Orders {
+    todo: mpsc::UnboundedReceiver<Job>,
+    terminated: Rc<Notify>,
+}
+
 /// As `program::serve` has it, but for the sockets that face the outside.
 async fn process(
     settings: Settings, life: u64, storage: Option<Storage>, network: Rc<Network>,
-    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut todo: mpsc::UnboundedReceiver<Job>,
+    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut orders: Orders,
 ) {
     let log = match is_aloud() {
         true => Logger::root(Aloud.fuse(), o!("at" => settings.node.clone())),
@@ -403,6 +462,7 @@
     *slot.borrow_mut() = Some(agent.clone());
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut departure, door) = (Departure::default(), Door::default());
     loop {
         // In this order: without it the runtime draws one, and a seed's day is never the same twice.
         tokio::select! {
@@ -411,7 +471,11 @@
             Some((read, write)) = callers.recv() => {
                 spawn_local(links::run(read, write, false, agent.clone()));
             }
-            Some(job) = todo.recv() => job(agent.clone()),
+            Some(job) = orders.todo.recv() => job(agent.clone()),
+            () = orders.terminated.notified() => departure.begin(),
+        }
+        if departure.is_over(&agent, &door) {
+            return;
         }
     }
 }
--- a/crates/node/tests/whole.rs
+++ b/crates/node/tests/whole.rs
@@ -4,6 +4,7 @@
 //! after `--` plays only its days; `NODE_LOG=1` says all.
 
 mod days;
+#[allow(dead_code, reason = "each test uses its part of the simulation")]
 mod simulation;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
