A call that is given up ends its connection at once, also where the server does not read

Cause: the library closes a connection whose call was given up only once what was being sent is out. To a server that stands still the rest of a long request stayed open, counted as one of its connections, and went out when it read on, long after its time (http_library shows it). Change: a connection ends with its handle. Test: pool, 1 MB to a server that does not read: none is open, no byte is sent after the end.

--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::verdict::CallError;
@@ -85,8 +86,14 @@
     pub body: Bytes,
 }
 
-struct Idle {
+/// A connection, which ends at once where this is dropped, also in the midst of a request that the server does not read.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    _held: oneshot::Sender<()>,
+}
+
+struct Idle {
+    connection: Connection,
     since: Instant,
     until: Instant,
 }
@@ -226,11 +233,11 @@
 impl Target {
     /// The connection that fell idle last. A server may have forgotten one that has stood for a while, and then
     /// resets what is sent on it: what must not run twice would be lost, so it takes only one just used.
-    fn take_idle(&self, once: bool) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, once: bool) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
         while let Some(last) = idle.pop() {
-            if last.until <= now || !last.sender.is_ready() {
+            if last.until <= now || !last.connection.sender.is_ready() {
                 continue;
             }
             if once && last.since + JUST_USED < now {
@@ -238,24 +245,22 @@
                 idle.push(last);
                 return None;
             }
-            return Some(last.sender);
+            return Some(last.connection);
         }
         None
     }
 
-    fn give_back(&self, sender: SendRequest<Full<Bytes>>, kept: Duration) {
+    fn give_back(&self, connection: Connection, kept: Duration) {
         if self.closed.get() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
-        idle.retain(|i| i.until > now && !i.sender.is_closed());
-        idle.push(Idle { sender, since: now, until: now + kept });
+        idle.retain(|i| i.until > now && !i.connection.sender.is_closed());
+        idle.push(Idle { connection, since: now, until: now + kept });
     }
 
-    async fn connect(
-        self: &Rc<Self>, limit: Duration, pool: &Pool,
-    ) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    async fn connect(self: &Rc<Self>, limit: Duration, pool: &Pool) -> Result<Connection, CallError> {
         if self.open.get() >= self.most.get() {
             return Err(CallError::NoRoom { address: self.address.clone() });
         }
@@ -270,11 +275,15 @@
             return Err(failed());
         };
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|_| failed())?;
+        let (_held, dropped) = oneshot::channel();
         tokio::task::spawn_local(async move {
             let _open = open;
-            let _ = connection.await;
+            tokio::select! {
+                _ = connection => {}
+                _ = dropped => {}
+            }
         });
-        Ok(sender)
+        Ok(Connection { sender, _held })
     }
 
     /// Sends a request and reads the answer whole.
@@ -283,10 +292,10 @@
         // A connection that has carried it may still bring a surplus answer to that call, under the same id.
         let first = asked.sent_to.borrow_mut().insert(self.id.clone());
         let idle = if first { self.take_idle(asked.once) } else { None };
-        let mut sender = match idle {
-            Some(sender) => {
+        let mut connection = match idle {
+            Some(connection) => {
                 bump(&pool.counters.reused);
-                sender
+                connection
             }
             None => self.connect(limit, pool).await?,
         };
@@ -298,7 +307,7 @@
         let headers = request.headers_mut();
         headers.insert(DEADLINE_MS, HeaderValue::from(left.max(1) as u64));
         headers.insert(TARGET_INSTANCE, HeaderValue::from_str(&self.id).map_err(|_| CallError::NeverSent)?);
-        let answered = timeout_at(until, sender.try_send_request(request)).await;
+        let answered = timeout_at(until, connection.sender.try_send_request(request)).await;
         let response = match answered.map_err(|_| CallError::TimedOut)? {
             Ok(response) => response,
             Err(mut e) => {
@@ -324,7 +333,7 @@
         let collected = timeout_at(until, Limited::new(body, ANSWER_MOST).collect()).await;
         let body = collected.map_err(|_| CallError::TimedOut)?.map_err(|_| CallError::Broken)?.to_bytes();
         if let Some(kept) = kept_for(&head.headers) {
-            self.give_back(sender, kept);
+            self.give_back(connection, kept);
         }
         judge(Answer { status: head.status, headers: head.headers, body })
     }
@@ -393,9 +402,10 @@
             let (mut sender, connection) = handshake(TokioIo::new(near)).await.expect("a connection");
             tokio::task::spawn_local(connection);
             sender.ready().await.expect("ready");
-            target.give_back(sender, IDLE);
-            let sender = target.take_idle(true).expect("it was just used");
-            target.give_back(sender, IDLE);
+            let (_held, _dropped) = oneshot::channel();
+            target.give_back(Connection { sender, _held }, IDLE);
+            let connection = target.take_idle(true).expect("it was just used");
+            target.give_back(connection, IDLE);
             tokio::time::advance(JUST_USED * 2).await;
             assert!(target.take_idle(true).is_none(), "it may be forgotten by now");
             assert!(target.take_idle(false).is_some(), "what may be repeated takes it all the same");
@@ -404,4 +414,44 @@
         };
         LocalSet::new().run_until(test).await;
     }
+
+    /// A server that stands still: its far ends are kept, and nothing is read there.
+    #[derive(Default)]
+    struct StandsStill(RefCell<Vec<tokio::io::DuplexStream>>);
+
+    impl Connector for StandsStill {
+        fn connect(&self, _address: &str) -> Connecting {
+            let (near, far) = tokio::io::duplex(1024);
+            self.0.borrow_mut().push(far);
+            Box::pin(async { Ok(Box::new(near) as _) })
+        }
+    }
+
+    /// Guards against connections that stay open, and requests that are sent on, after their calls were given up.
+    #[tokio::test(start_paused = true)]
+    async fn a_call_that_is_given_up_ends_its_connection_also_where_the_server_does_not_read() {
+        let test = async {
+            let server = Rc::new(StandsStill::default());
+            let pool = Pool::new(server.clone());
+            pool.is_there("i-1", "127.0.0.1:1", 4);
+            let asked = Asked {
+                method: Method::POST,
+                uri: Uri::from_static("/"),
+                headers: HeaderMap::new(),
+                body: Bytes::from(vec![0; 1 << 20]),
+                attempt: HeaderValue::from_static("1"),
+                once: true,
+                sent_to: RefCell::default(),
+            };
+            let sent = pool.send("i-1", &asked, JUST_USED).await;
+            assert_eq!(sent.expect_err("it does not answer"), CallError::TimedOut);
+            tokio::task::yield_now().await;
+            assert_eq!(pool.open(), 0);
+            let mut read = Vec::new();
+            let mut far = server.0.borrow_mut().remove(0);
+            let _ = tokio::io::AsyncReadExt::read_to_end(&mut far, &mut read).await;
+            assert!(read.len() <= 1024, "{} bytes of it were sent", read.len());
+        };
+        LocalSet::new().run_until(test).await;
+    }
 }
--- a/crates/node/tests/http_library.rs
+++ b/crates/node/tests/http_library.rs
@@ -123,6 +123,15 @@
         drop(response);
         assert!(read(&mut far).await.1, "half an answer, dropped");
 
+        // Not so where the other side stands still: what is being sent goes out once it reads on. The pool ends it.
+        let (mut sender, mut far) = client().await;
+        let long = Request::post("/").header("host", "h").body(Full::new(Bytes::from(vec![0; 1 << 20])));
+        let given_up = timeout(A_WHILE, sender.try_send_request(long.expect("a request"))).await;
+        assert!(given_up.is_err());
+        sleep(A_WHILE).await;
+        let (sent, closed) = read(&mut far).await;
+        assert!(sent.len() > 1 << 20 && closed);
+
         let (sender, mut far) = client().await;
         drop(sender);
         assert_eq!(read(&mut far).await, (Vec::new(), true));
