--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -44,8 +44,10 @@
 const LOST_AFTER: Duration = Duration::from_millis(3000);
 /// Time in which others must have taken in that a server leaves, for its word to be acknowledged.
 const CONFIRMED: Duration = Duration::from_millis(800);
-/// Time after which a configuration that others have is asked for again.
-const WANT_AGAIN: Duration = Duration::from_millis(400);
+/// Time after which a configuration that has not come is asked for elsewhere, ...
+const WANT_ELSEWHERE: Duration = Duration::from_millis(400);
+/// ... and again on the same link: until then it is on its way, behind others on a narrow link.
+const WANT_AGAIN: Duration = Duration::from_millis(2500);
 /// How often the servers that are known are kept on disk, where they change.
 const HINT: Duration = Duration::from_secs(2);
 /// Digests that differ in a row, after which updates has been missed.
@@ -74,9 +76,7 @@
     watch: RefCell<Watch>,
     /// What the other control nodes were told last of this process's disk.
     reported: Cell<DiskReport>,
-    wanted: Cell<Option<(u64, Instant)>>,
-    /// Another than the one that feeds this gatherer has named a newer configuration first.
-    foretold: Cell<bool>,
+    wanted: RefCell<dissemination::Wanted>,
     /// The link over which this gatherer is told what changes.
     feed: Cell<Option<u64>>,
     compared: Cell<Instant>,
@@ -127,7 +127,7 @@
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (stored, config, confirmations, dialled, unreached, lost, links) = Default::default();
+        let (stored, config, confirmations, dialled, unreached, lost, links, wanted) = Default::default();
         let (verifications, answering, holding, taking) = Default::default();
         let limits = Limits { catch_up: settings.catch_up, losses: settings.losses };
         let agent = Agent {
@@ -150,8 +150,7 @@
             lost,
             watch: RefCell::new(Watch::new(limits)),
             reported: Cell::default(),
-            wanted: Cell::new(None),
-            foretold: Cell::new(false),
+            wanted,
             feed: Cell::new(None),
             compared: Cell::new(started),
             hinted: Cell::new((started, 0)),
--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -3,6 +3,17 @@
 
 use super::*;
 
+/// Which configuration is wanted, and of whom it was asked for.
+#[derive(Default)]
+pub(super) struct Wanted {
+    /// The newest version that another has named, and over which link.
+    named: Option<(u64, u64)>,
+    /// The links on which it was asked for and has not come, and since when.
+    asked: BTreeMap<u64, Instant>,
+    /// Another than the one that feeds this gateway has named a newer configuration first.
+    foretold: bool,
+}
+
 impl Agent {
     /// Tells others what changed here; `from` is where it came from.
     pub(super) fn spread(&self, updates: Vec<Update>, from: Option<u64>) {
@@ -36,6 +47,15 @@
         plane.gatherers_are(directory.fronts(self.now()));
     }
 
+    /// Whoever tells of what is down or has ended as if it ran is told so.
+    pub(super) fn say_against(&self, link: u64, updates: &[Update]) {
+        let directory = self.directory.borrow();
+        let against: Vec<Update> = updates.iter().filter_map(|update| directory.against(update)).collect();
+        if !against.is_empty() {
+            self.links.borrow_mut().send(link, &Message::Update { number: 0, updates: against });
+        }
+    }
+
     pub(super) fn learn(&self, updates: Vec<Update>, from: Option<u64>) {
         let now = self.now();
         let told: Vec<Update> = {
@@ -113,18 +133,42 @@
         }
     }
 
+    /// Another has named a version. Where it is newer, the configuration is asked for: of one that has not been asked
+    /// before it has answered, so that on a narrow link no more than one transfer is on its way, and whatever is
+    /// overtaken meanwhile is skipped.
     pub(super) fn want(&self, from: u64, version: u64) {
-        let now = Instant::now();
-        let asked = self.wanted.get().is_some_and(|(v, at)| v >= version && at + WANT_AGAIN > now);
+        if version <= self.version() {
+            return;
+        }
+        let (now, mut wanted, mut links) =
+            (Instant::now(), self.wanted.borrow_mut(), self.links.borrow_mut());
+        wanted.asked.retain(|link, _| links.get(*link).is_some());
+        if wanted.named.is_none_or(|(named, _)| named < version) {
+            wanted.named = Some((version, from));
+        }
+        let just_asked = wanted.asked.values().any(|at| *at + WANT_ELSEWHERE > now);
+        let under_way = wanted.asked.get(&from).is_some_and(|at| *at + WANT_AGAIN > now);
+        if just_asked || under_way {
+            return;
+        }
         // The one that feeds this gatherer is near: it is waited for a moment where another is first.
         let nearer = self.feed.get().is_some_and(|feed| feed != from);
-        if version > self.version() && !asked && nearer && !self.foretold.replace(true) {
+        if nearer && !std::mem::replace(&mut wanted.foretold, true) {
             return;
         }
-        if version > self.version() && !asked {
-            self.foretold.set(false);
-            self.wanted.set(Some((version, now)));
-            self.links.borrow_mut().send(from, &Message::Want { above: self.version() });
+        wanted.foretold = false;
+        wanted.asked.insert(from, now);
+        links.send(from, &Message::Want { above: self.version() });
+    }
+
+    /// A configuration has come that was asked for. If a newer one was named meanwhile, that is asked for at once.
+    pub(super) fn config_came(self: &Rc<Self>, from: u64, stored: StoredConfig) {
+        self.wanted.borrow_mut().asked.remove(&from);
+        self.config_is(stored);
+        let named = self.wanted.borrow().named.filter(|(version, _)| *version > self.version());
+        if let Some((version, by)) = named {
+            self.wanted.borrow_mut().foretold = true;
+            self.want(by, version);
         }
     }
 }
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -45,6 +45,24 @@
     )
 }
 
+/// A configuration with so many routes, whose packed text is some fifty bytes for each.
+#[allow(dead_code, reason = "not all tests that share the simulation have large configurations")]
+pub fn wide_configuration(version: u64, routes: usize) -> String {
+    let mut rng = fastrand::Rng::with_seed(version);
+    let mut name = |len: usize| (0..len).map(|_| rng.alphanumeric()).collect::<String>();
+    let more: String = (0..routes)
+        .map(|_| {
+            format!(
+                ",{{\"name\":\"r-{}\",\"host\":\"h.example\",\"path-prefix\":\"/{}/\",\"kind\":\"idempotent\",\
+                 \"deadline-ms\":2000,\"target-ms\":200,\"priority\":1,\"service\":\"s\",\"max-tries\":2}}",
+                name(16),
+                name(24)
+            )
+        })
+        .collect();
+    configuration(version, 0).replace("}],\"services\"", &format!("}}{more}],\"services\""))
+}
+
 type Job = Box<dyn FnOnce(Rc<Agent>)>;
 
 /// Some machines that are cut off from all others, both ways or one way.
@@ -75,6 +93,8 @@
     next_cut: Cell<u64>,
     /// What a message may take longer than [`WAY`], each a time of its own.
     pub jitter: Cell<Duration>,
+    /// Machines that take in so many bytes a second, and until when what is on its way keeps each busy.
+    narrow: RefCell<BTreeMap<String, (u64, Instant)>>,
     /// Ways between two machines that carry nothing, by their addresses.
     severed: RefCell<BTreeSet<(String, String)>>,
     /// Rises with each moment at which a machine's connections break.
@@ -108,6 +128,20 @@
         self.severed.borrow_mut().insert((from.to_owned(), to.to_owned()));
     }
 
+    /// A machine takes in so many bytes a second, over all its connections.
+    #[allow(dead_code, reason = "not all tests that share the simulation have narrow links")]
+    pub fn narrow(&self, machine: &str, bytes_a_second: u64) {
+        self.narrow.borrow_mut().insert(machine.to_owned(), (bytes_a_second, Instant::now()));
+    }
+
+    /// What so many bytes wait for and take at the machine that they are for.
+    fn takes(&self, to: &str, bytes: usize) -> Duration {
+        let (mut narrow, now) = (self.narrow.borrow_mut(), Instant::now());
+        let Some((rate, busy)) = narrow.get_mut(host(to)) else { return Duration::ZERO };
+        *busy = now.max(*busy) + Duration::from_secs_f64(bytes as f64 / *rate as f64);
+        *busy - now
+    }
+
     /// Neither of two machines reaches the other.
     pub fn part(&self, a: &str, b: &str) {
         self.sever(a, b);
@@ -165,7 +199,7 @@
     let whole = network.broken(&from, &to);
     while network.broken(&from, &to) == whole {
         let n = read.read(&mut bytes).await.unwrap_or(0);
-        sleep(network.delay()).await;
+        sleep(network.delay() + network.takes(&to, n)).await;
         while network.is_cut(&from, &to) {
             sleep(ms(20)).await;
         }
