--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -221,7 +221,6 @@
         self.look_at_wait();
         self.look_at_register();
         self.report_disk();
-        self.catch_up();
         self.look_at_members();
         self.look_at_hints();
         let now = Instant::now();
--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -153,13 +153,11 @@
         Some(chosen.config().cloned())
     }
 
-    /// Reads the register at start, and whenever the own disk holds another version than the one in force: it has
-    /// missed a decision, or holds one that may not have been made.
+    /// Reads the register at start, and where the own disk is behind: that brings it up, whether or not anybody writes.
     pub(super) fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
         self.look_at_operations(false);
-        let differs = register.stored().map_or(0, |config| config.version) != self.version();
-        if (!self.read.get() || differs) && !self.reading.replace(true) {
+        if (!self.read.get() || self.is_behind(register)) && !self.reading.replace(true) {
             let agent = self.clone();
             tokio::task::spawn_local(async move {
                 agent.newest().await;
--- a/crates/node/src/agent/membership.rs
+++ b/crates/node/src/agent/membership.rs
@@ -80,18 +80,13 @@
         });
     }
 
-    /// Brings this process's own disk into the newest epoch that names it, whether or not anybody writes.
-    pub(super) fn catch_up(self: &Rc<Self>) {
-        let Some(register) = &self.register else { return };
-        let Some(membership) = self.membership().filter(|m| m.epoch > register.held().epoch) else { return };
+    /// Whether this process's disk is a member and holds the state of an earlier epoch, or another version than the one
+    /// in force: it has missed a decision, or holds one that may not have been made.
+    pub(super) fn is_behind(&self, register: &Register) -> bool {
+        let membership = self.membership().unwrap_or_default();
         let named = self.directory.borrow().me().disk.as_ref().is_some_and(|disk| membership.has(disk));
-        if named && !self.reading.replace(true) {
-            let agent = self.clone();
-            tokio::task::spawn_local(async move {
-                agent.newest().await;
-                agent.reading.set(false);
-            });
-        }
+        let version = register.stored().map_or(0, |config| config.version);
+        named && (register.held().epoch < membership.epoch || version != self.version())
     }
 
     /// Whether this process, told to end, leaves nothing undone in the membership.
--- a/crates/quorum/tests/duty.rs
+++ b/crates/quorum/tests/duty.rs
@@ -127,6 +127,8 @@
     assert_eq!(end(5, &[]), (None, true));
     assert_eq!(end(6, &[]), (Some("a b c d e".to_owned()), false));
     assert_eq!(end(5, &[waiting("new", "new")]), (Some("a b c d new".to_owned()), false));
+    // One that is out already and has not ended yet is not let in again.
+    assert_eq!(end(5, &[leaving("out")]), (None, true));
 }
 
 #[test]
