A process calls another once at a time; a new link is asked only what is open for it

Change: a call holds its address until it fails or its link ends; a link that comes up is asked only what is open for that replica. Simulated machines have zones, processors that take time for each piece and byte, and counted bytes by zone.

--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -68,6 +68,8 @@
     confirms: RefCell<BTreeMap<u64, Confirm>>,
     numbers: Cell<u64>,
     dialled: RefCell<BTreeMap<String, Instant>>,
+    /// Addresses to which a call of this process's is under way or holds a link.
+    calling: RefCell<BTreeSet<String>>,
     unreached: RefCell<BTreeMap<String, Instant>>,
     /// Those that were linked, and since when they are not.
     lost: RefCell<BTreeMap<String, Option<Instant>>>,
@@ -128,6 +130,7 @@
             confirms,
             numbers: Cell::new(0),
             dialled,
+            calling: RefCell::default(),
             unreached,
             lost,
             watch,
--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -86,7 +86,7 @@
     /// Reads the register at start, and whenever this disk holds something that may be held by no majority.
     pub(super) fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        self.ask(register.look(false));
+        self.ask(register.look());
         let ahead = register.stored().map_or(0, |f| f.version) > self.version();
         if (!self.read.get() || ahead) && !self.reading.replace(true) {
             let agent = self.clone();
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -9,10 +9,16 @@
         if dialled.get(&address).is_some_and(|at| *at + DIAL_AGAIN > now) {
             return;
         }
+        // One call at a time: a process that is slow to answer must not be called once more with each tick.
+        if !self.calling.borrow_mut().insert(address.clone()) {
+            return;
+        }
         dialled.insert(address.clone(), now);
         let agent = self.clone();
         tokio::task::spawn_local(async move {
-            if !dial(address.clone(), agent.clone()).await {
+            let linked = dial(address.clone(), agent.clone()).await;
+            agent.calling.borrow_mut().remove(&address);
+            if !linked {
                 agent.unreached.borrow_mut().insert(address, Instant::now() + UNREACHED);
             }
         });
@@ -137,13 +143,14 @@
             }
             peer
         };
+        let address = peer.address.clone();
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
         let control_node = peer.disk.is_some();
         self.learn(vec![Update::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
         if let Some(register) = self.register.as_ref().filter(|_| control_node) {
-            self.ask(register.look(true));
+            self.ask(register.reached(&address));
         }
     }
 
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -236,22 +236,22 @@
     matches!(limited.read_until(b'\n', bytes).await, Ok(n) if n > 0 && bytes.ends_with(b"\n"))
 }
 
-/// Carries one connection to its end.
+/// Carries one connection to its end; says whether the other process was ever linked by it.
 pub async fn run<L: Listener>(
     read: impl AsyncRead + Unpin, mut write: impl AsyncWrite + Unpin, ours: bool, listener: Rc<L>,
-) {
+) -> bool {
     let mut reader = BufReader::with_capacity(4096, read);
     let mut bytes = Vec::new();
     let hello = serde_json::to_string(&Message::Hello(listener.me())).unwrap_or_default() + "\n";
     if write.write_all(hello.as_bytes()).await.is_err() {
-        return;
+        return false;
     }
     if !matches!(timeout(DIAL, line(&mut reader, &mut bytes)).await, Ok(true)) {
-        return;
+        return false;
     }
     let Ok(Message::Hello(peer)) = serde_json::from_slice(&bytes) else {
         listener.links().borrow_mut().counters.unread += 1;
-        return;
+        return false;
     };
     let (lines, mut waiting) = mpsc::channel::<Rc<str>>(WAITING_MOST);
     let now = Instant::now();
@@ -300,14 +300,14 @@
     if let Some(link) = link {
         listener.unlinked(number, link);
     }
+    true
 }
 
-/// Calls another process.
+/// Calls another process and carries the connection to its end; says whether it was ever linked by it.
 pub async fn dial<L: Listener>(address: String, listener: Rc<L>) -> bool {
     let dialled = listener.net().dial(address);
     let Ok(Some((read, write))) = timeout(DIAL, dialled).await else { return false };
-    tokio::task::spawn_local(run(read, write, true, listener));
-    true
+    run(read, write, true, listener).await
 }
 
 #[cfg(test)]
--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -123,16 +123,27 @@
         self.asks.borrow_mut().retain(|_, (at, _)| operations.contains_key(at));
     }
 
-    /// Asks again where answers stay out, or at once where somebody new can be asked, and gives up what has
-    /// taken too long.
-    pub fn look(&self, at_once: bool) -> Asks {
+    /// What runs here and is still to be asked of a replica that can be reached from now on. Only of that one: asking
+    /// all again with each link makes the square of the links at a start.
+    pub fn reached(&self, address: &str) -> Asks {
+        let unanswered: Vec<_> = self
+            .operations
+            .borrow()
+            .iter()
+            .map(|(number, running)| (*number, running.operation.unanswered(address)))
+            .collect();
+        unanswered.into_iter().flat_map(|(number, asks)| self.asks(number, asks)).collect()
+    }
+
+    /// Asks again where answers stay out, and gives up what has taken too long.
+    pub fn look(&self) -> Asks {
         let now = Instant::now();
         let mut operations = self.operations.borrow_mut();
         operations.retain(|_, r| r.until > now && r.done.as_ref().is_some_and(|done| !done.is_closed()));
         self.forget(&operations);
         let mut all = Vec::new();
         for (number, running) in
-            operations.iter_mut().filter(|(_, r)| at_once || r.asked + RESEND_AFTER < now)
+            operations.iter_mut().filter(|(_, r)| r.asked + RESEND_AFTER < now)
         {
             running.asked = now;
             all.push((*number, running.operation.again()));
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -1,6 +1,8 @@
 //! A simulation of machines: whole processes of the system, each with its register, directory, links and duties as in service,
 //! on a network and on disks that are played. Time is tokio's own, paused: it goes on where all wait.
 
+pub mod bounds;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::pin::Pin;
@@ -56,6 +58,7 @@
     breaks: RefCell<BTreeMap<String, u32>>,
     pumps: RefCell<Vec<Pin<Box<dyn Future<Output = ()>>>>>,
     wanted: RefCell<Option<Waker>>,
+    pub bounds: bounds::Bounds,
 }
 
 fn host(address: &str) -> &str {
@@ -109,6 +112,7 @@
         while network.is_cut(&from, &to) {
             sleep(ms(20)).await;
         }
+        network.bounds.pass(host(&from), host(&to), n).await;
         if n == 0 || write.write_all(&bytes[..n]).await.is_err() {
             return;
         }
@@ -124,6 +128,7 @@
 impl Net for Endpoint {
     fn dial(&self, address: String) -> Dialled {
         let (network, own) = (self.network.clone(), self.own.clone());
+        network.bounds.called();
         Box::pin(async move {
             sleep(WAY * 2).await;
             while network.is_cut(&own, &address) || network.is_cut(&address, &own) {
@@ -167,6 +172,7 @@
 pub struct Machine {
     pub name: String,
     pub ip: String,
+    pub zone: String,
     pub storage: Option<Storage>,
     /// As its settings file has them: those of the day on which it was written, and how many losses are to be borne.
     seeds: Vec<String>,
@@ -185,11 +191,12 @@
 }
 
 impl Machine {
-    fn new(name: String, number: usize, disk: bool, seeds: Vec<String>, losses: usize) -> Rc<Self> {
+    fn new(name: String, number: usize, disk: bool, seeds: Vec<String>, losses: usize) -> Self {
         let storage = disk.then(|| Storage { safe: Rc::default(), sync: Rc::new(Cell::new(SYNC)) });
         let well_since = Cell::new(Some(Instant::now()));
-        let ip = format!("10.0.0.{number}");
-        Rc::new(Machine { name, ip, storage, seeds, losses, well_since, ..Machine::default() })
+        let ip = format!("10.0.{}.{}", number / 250, number % 250);
+        let zone = format!("z{}", name.len() % 3);
+        Machine { name, ip, zone, storage, seeds, losses, well_since, ..Machine::default() }
     }
 
     pub fn agent(&self) -> Option<Rc<Agent>> {
@@ -245,12 +252,12 @@
             format!("front = \"{}:8043\"", self.ip)
         };
         let text = format!(
-            "node = \"{}\"\nip = \"{}\"\nzone = \"z{}\"\ninternal-ports = [7080, 7095]\nbootstrap = {bootstrap}\n\
+            "node = \"{}\"\nip = \"{}\"\nzone = \"{}\"\ninternal-ports = [7080, 7095]\nbootstrap = {bootstrap}\n\
              seed-nodes = {:?}\nbeat-interval-ms = 1000\n{disk}\
              [listen]\n{listen}\n[fault-budget]\nmachine-losses = {}\n",
             self.name,
             self.ip,
-            self.name.len() % 3,
+            self.zone,
             self.seeds,
             self.losses,
         );
@@ -368,6 +375,13 @@
 
 impl Simulation {
     pub fn new(control_nodes: usize, gateways: usize, losses: usize) -> Rc<Self> {
+        Simulation::placed(control_nodes, gateways, losses, |_, machine| machine)
+    }
+
+    /// As [`Simulation::new`], with each machine, by its number, put into a zone of the caller's before it starts.
+    pub fn placed(
+        control_nodes: usize, gateways: usize, losses: usize, place: impl Fn(usize, Machine) -> Machine,
+    ) -> Rc<Self> {
         let network = Rc::new(Network::default());
         let carrying = network.clone();
         spawn_local(std::future::poll_fn(move |cx| {
@@ -380,8 +394,11 @@
             true => Machine::new(format!("control-{n}"), n + 1, true, seeds.clone(), losses),
             false => Machine::new(format!("gateway-{n}"), n + 1, false, seeds.clone(), losses),
         };
-        let machines: Vec<_> = (0..control_nodes + gateways).map(machine).collect();
-        machines.iter().for_each(|m| m.start(&network, true));
+        let machines: Vec<_> = (0..control_nodes + gateways).map(|n| Rc::new(place(n, machine(n)))).collect();
+        for machine in &machines {
+            network.bounds.place(&machine.ip, &machine.zone);
+            machine.start(&network, true);
+        }
         Rc::new(Simulation { network, machines: RefCell::new(machines) })
     }
 
@@ -390,7 +407,7 @@
         let number = self.machines.borrow().len() + 1;
         let seeds = self.control_nodes().iter().take(3).map(|m| format!("{}:8047", m.ip)).collect();
         let losses = self.machines.borrow()[0].losses;
-        let new = Machine::new(format!("control-{number}"), number, true, seeds, losses);
+        let new = Rc::new(Machine::new(format!("control-{number}"), number, true, seeds, losses));
         self.machines.borrow_mut().push(new.clone());
         new
     }
--- a/crates/quorum/src/operation.rs
+++ b/crates/quorum/src/operation.rs
@@ -94,6 +94,12 @@
         self.asks().into_iter().filter(|(member, _)| !answered(member)).collect()
     }
 
+    /// What this stage asks of the replica at an address, if that has not answered.
+    pub fn unanswered(&self, address: &str) -> Vec<(Member, Ask)> {
+        let open = |member: &Member| member.address == address && !self.answers.contains_key(&member.disk);
+        self.asks().into_iter().filter(|(member, _)| open(member)).collect()
+    }
+
     fn prepare(&mut self) -> Vec<(Member, Ask)> {
         self.round += 1;
         self.enter(Stage::Preparing(Ballot { round: self.round, by: self.by.clone() }))
