--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -2,7 +2,9 @@
 
 mod configuration;
 mod connections;
+mod contact;
 mod dissemination;
+mod hearing;
 mod membership;
 mod outbox;
 mod report;
@@ -13,8 +15,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ashvane_gossip::{Digest, Directory, Heartbeat, Node, Server, State, Update, peers};
-use ashvane_quorum::{Ask, Member, Membership, Outcome, StoredConfig, Watch, duty};
+use ashvane_gossip::{
+    Authority, Digest, Directory, HearingTerm, Heartbeat, Node, Server, Silence, State, Update, peers,
+};
+use ashvane_quorum::{Member, Membership, Outcome, StoredConfig, Watch, duty};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -22,10 +26,11 @@
 
 use self::outbox::{Due, Outbox};
 use crate::config::Config;
+use crate::confirmation::Confirmation;
 use crate::data_plane::DataPlane;
 use crate::links::{Link, Links, Listener, Message, Net, dial};
 use crate::packed;
-use crate::register::{Asks, Register};
+use crate::register::Register;
 use crate::settings::Settings;
 
 /// How often a process looks at its links, its servers and its duties.
@@ -49,12 +54,6 @@
 /// Time after which a gap may be mended over another link; shorter than the time between two digests.
 const MEND_AGAIN: Duration = Duration::from_millis(700);
 
-struct Confirm {
-    need: usize,
-    got: BTreeSet<String>,
-    done: Option<oneshot::Sender<()>>,
-}
-
 pub struct Agent {
     pub settings: Settings,
     pub log: Logger,
@@ -69,7 +68,7 @@
     register: Option<Rc<Register>>,
     plane: Option<Rc<DataPlane>>,
     net: Rc<dyn Net>,
-    confirms: RefCell<BTreeMap<u64, Confirm>>,
+    confirmations: RefCell<BTreeMap<u64, Confirmation>>,
     outbox: RefCell<Outbox>,
     numbers: Cell<u64>,
     dialled: RefCell<BTreeMap<String, Instant>>,
@@ -91,8 +90,16 @@
     hinted: Cell<(Instant, u64)>,
     /// A server has left since then.
     left: Cell<bool>,
-    /// Whether a process with a disk has told all that it knows.
+    /// Whether a control node in contact with a majority has told all that it knows, once in this life.
     synced: Cell<bool>,
+    /// How long it has waited for that.
+    waited: Cell<Duration>,
+    /// Gateways that wait to hear that this control node is in contact with a majority, by link.
+    verifications: RefCell<BTreeMap<u64, u64>>,
+    answering: Cell<bool>,
+    /// The term under which this process holds the duty of hearing, once a majority of the members has taken it in.
+    holding: RefCell<Option<HearingTerm>>,
+    taking: Cell<bool>,
     /// Whether what a majority of the disks holds has been read since the start.
     read: Cell<bool>,
     reading: Cell<bool>,
@@ -104,6 +111,12 @@
 pub enum Put {
     Held(u64),
     Invalid(Vec<String>),
+    /// Its version was decided with another text: it is not held and never will be.
+    Conflict {
+        version: u64,
+        /// The version that holds.
+        held: u64,
+    },
     /// No majority has answered: it may be held or not.
     Unclear,
 }
@@ -120,7 +133,8 @@
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (stored, config, confirms, dialled, unreached, lost, watch, links) = Default::default();
+        let (stored, config, confirmations, dialled, unreached, lost, watch, links) = Default::default();
+        let (verifications, answering, holding, taking) = Default::default();
         let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
@@ -134,7 +148,7 @@
             register: register.map(Rc::new),
             plane,
             net,
-            confirms,
+            confirmations,
             outbox: RefCell::default(),
             mending: Cell::new(None),
             numbers: Cell::new(0),
@@ -150,6 +164,11 @@
             hinted: Cell::new((started, 0)),
             left: Cell::new(false),
             synced: Cell::new(alone),
+            waited: Cell::new(Duration::ZERO),
+            verifications,
+            answering,
+            holding,
+            taking,
             read: Cell::new(false),
             reading: Cell::new(false),
             changing: Cell::new(false),
@@ -174,10 +193,17 @@
         self.register.is_some()
     }
 
+    /// Whether what is known here, a configuration among it, is that of a control node in contact with a majority, or the
+    /// newest that could be had.
+    pub fn is_current(&self) -> bool {
+        (self.synced.get() || self.has_waited_for_a_majority()) && self.config.borrow().is_some()
+    }
+
     /// Whether clients' requests can be served here.
     pub fn is_ready(&self) -> bool {
-        let knows = self.synced.get() && self.config.borrow().is_some();
-        knows && !self.leaving.get() && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
+        self.is_current()
+            && !self.leaving.get()
+            && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
     }
 
     pub fn leave(&self) {
@@ -192,9 +218,12 @@
 
     pub fn tick(self: &Rc<Self>) {
         self.look_at_links();
-        let first = self.is_control_node() && self.is_first();
-        let told = self.directory.borrow_mut().tick(first, self.now());
+        self.look_at_hearing();
+        let authority = self.authority();
+        let told = self.directory.borrow_mut().tick(&authority, self.now());
         self.spread(told, None);
+        self.look_at_verifications();
+        self.look_at_wait();
         self.look_at_register();
         self.look_at_members();
         self.look_at_hints();
@@ -209,6 +238,10 @@
 
     /// All that is known here, and the version in force, in a few figures: alike where they are.
     pub fn digest(&self) -> Digest {
-        self.directory.borrow().digest(self.version())
+        self.digest_over(&self.links.borrow())
+    }
+
+    fn digest_over(&self, links: &Links) -> Digest {
+        Digest { alone: self.is_alone(links), ..self.directory.borrow().digest(self.version()) }
     }
 }
