--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -58,7 +58,7 @@
         let Some(plane) = &self.plane else { return };
         let directory = self.directory.borrow();
         plane.servers_changed(&directory, updates);
-        plane.gatherers_are(directory.fronts());
+        plane.gatherers_are(directory.fronts(self.now()));
     }
 
     pub(super) fn learn(self: &Rc<Self>, updates: Vec<Update>, from: Option<u64>) {
@@ -67,16 +67,20 @@
             let mut directory = self.directory.borrow_mut();
             updates.into_iter().flat_map(|n| directory.learn(n, now)).collect()
         };
+        let moved = told.iter().any(|update| matches!(update, Update::Membership(_)));
         self.spread(told, from);
+        if moved {
+            self.membership_changed();
+        }
     }
 
     pub(super) fn compare(&self, links: &mut Links, numbers: &[u64]) {
-        links.send_all(numbers, &Message::Digest(self.digest()));
+        links.send_all(numbers, &Message::Digest(self.digest_over(links)));
     }
 
     /// A configuration that a majority of disks holds: from here on it is in force here.
     pub(super) fn config_is(self: &Rc<Self>, stored: StoredConfig) {
-        if self.stored.borrow().as_ref().is_some_and(|held| *held >= stored) {
+        if self.stored.borrow().as_ref().is_some_and(|held| held.version >= stored.version) {
             return;
         }
         let Some(text) = packed::unpack(&stored.text) else {
@@ -98,15 +102,12 @@
         if let Some(plane) = &self.plane {
             plane.configured(config);
         }
-        if let Some(register) = &self.register {
-            // What this disk has missed it is given here.
-            let own =
-                register.ask_own(&Ask::Install { membership: Membership::default(), stored: Some(stored) });
-            tokio::task::spawn_local(own);
+        {
+            let mut links = self.links.borrow_mut();
+            let peers = links.peers();
+            self.compare(&mut links, &peers);
         }
-        let mut links = self.links.borrow_mut();
-        let peers = links.peers();
-        self.compare(&mut links, &peers);
+        self.look_at_readiness();
     }
 
     /// A neighbour's digest: where it differs twice in a row, updates has been missed; before that it may be on its
@@ -117,22 +118,31 @@
         let mine = directory.digest(self.version());
         let mut links = self.links.borrow_mut();
         let Some(link) = links.get_mut(number) else { return };
+        link.alone = digest.alone;
         let control_node = link.peer.disk.is_some();
         if (mine.entries, mine.epoch) == (digest.entries, digest.epoch) {
             link.differs = 0;
-            if control_node {
-                self.synced.set(true);
-            }
+            drop((directory, links));
+            self.has_compared(number);
             return;
         }
         link.differs += 1;
-        let new_here = control_node && !self.synced.get();
-        let begins = new_here || (link.differs >= DIFFERS && directory.me().name < link.peer.name);
+        let begins = directory.me().name < link.peer.name;
+        let new_here = match self.is_control_node() {
+            true => control_node && !link.compared && begins,
+            false => control_node && !self.synced.get(),
+        };
         // One at a time: what is missed is mostly known to all others alike, and a start would bring all of it over
-        // every link.
+        // every link. Members are compared with at once: a majority of them has to be.
         let now = Instant::now();
-        if begins && self.mending.get().is_none_or(|at| at + MEND_AGAIN <= now) {
-            self.mending.set(Some(now));
+        let is_member = link.peer.disk.as_ref().is_some_and(|disk| directory.membership().has(disk));
+        let at_once = new_here && (is_member || !self.is_control_node());
+        let free = self.mending.get().is_none_or(|at| at + MEND_AGAIN <= now);
+        let mends = new_here || (link.differs >= DIFFERS && begins);
+        if at_once || (mends && free) {
+            if !at_once {
+                self.mending.set(Some(now));
+            }
             link.differs = 0;
             links.send(number, &Message::Buckets(directory.buckets()));
         }
