--- a/crates/node/examples/slopes/processes.rs
+++ b/crates/node/examples/slopes/processes.rs
@@ -68,8 +68,10 @@
 
 fn world(control_nodes: usize, gateways: usize, shares: Option<(f64, f64)>) -> Rc<Simulation> {
     fastrand::seed(1);
-    let simulation =
-        Simulation::placed(control_nodes, gateways, 2, |n, machine| Machine { zone: place(n), ..machine });
+    let simulation = Simulation::placed(control_nodes, gateways, 2, |n, mut machine| {
+        machine.zone = place(n);
+        machine
+    });
     for machine in simulation.all() {
         let Some((control, gateway)) = shares else { continue };
         let share = if machine.is_control_node() { control } else { gateway };
