Eleven control nodes vote; the others ask them

Change: a membership grows to eleven at most; one that waits for a place and holds nothing on its disk does not take that for a reason to read again. Test: of_many_control_nodes_eleven_vote_and_all_take_orders.

--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -165,7 +165,10 @@
     pub(super) fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
         self.look_at_operations();
-        let differs = register.stored().map_or(0, |config| config.version) != self.version();
+        // One that waits for a place in the membership holds nothing on its disk.
+        let own = self.directory.borrow().me().disk.clone().unwrap_or_default();
+        let differs = register.membership().has(&own)
+            && register.stored().map_or(0, |config| config.version) != self.version();
         if (!self.read.get() || differs) && !self.reading.replace(true) {
             let agent = self.clone();
             tokio::task::spawn_local(async move {
--- a/crates/node/tests/start.rs
+++ b/crates/node/tests/start.rs
@@ -7,9 +7,10 @@
 use std::rc::Rc;
 
 use ashvane_gossip::{Heartbeat, State};
-use ashvane_node::agent::Agent;
+use ashvane_node::agent::{Agent, Put};
+use ashvane_quorum::duty::MEMBERS_MOST;
 use simulation::bounds::Processor;
-use simulation::{Simulation, ms, play};
+use simulation::{Direction, Simulation, ms, play};
 use tokio::time::sleep;
 
 const CONTROL_NODES: usize = 24;
@@ -113,14 +114,14 @@
         let control_nodes = simulation.control_nodes();
         // One that was away while many servers came up lacks them all, and so differs from each of its neighbours.
         let away = control_nodes[CONTROL_NODES - 1].clone();
-        simulation.network.cut([away.ip.clone()]);
+        let cut = simulation.network.cut(Direction::Both, [away.ip.clone()]);
         sleep(ms(4000)).await;
         for n in 0..SERVERS {
             let beat = first_beat(n);
             let heard = |agent: Rc<Agent>| async move { agent.beat(beat).await };
             assert_eq!(control_nodes[n % 8].ask(ms(1000), heard).await, Some(true));
         }
-        simulation.network.mend();
+        simulation.network.mend(cut);
         // Less than five heartbeats: servers that beat once count as silent after that.
         sleep(ms(4500)).await;
         let agent = away.agent().expect("runs");
@@ -131,3 +132,26 @@
         assert!(after - before < 45_000, "{} bytes of gaps", after - before);
     });
 }
+
+#[test]
+fn of_many_control_nodes_eleven_vote_and_all_take_orders() {
+    play(async {
+        let simulation = start(0);
+        sleep(ms(10_000)).await;
+        for (version, machine) in (1..).zip(simulation.control_nodes()) {
+            let text = simulation::configuration(version, 0);
+            let put = |agent: Rc<Agent>| async move { agent.put(text.as_bytes()).await };
+            let put = machine.ask(ms(1000), put).await;
+            assert!(matches!(put, Some(Put::Held(held)) if held == version), "at {}", machine.name);
+            sleep(ms(100)).await;
+        }
+        let (before, _) = said(&simulation, "register");
+        sleep(ms(5000)).await;
+        for machine in simulation.control_nodes() {
+            let state = machine.agent().expect("runs").state();
+            assert_eq!(state["disks"].as_array().map(Vec::len), Some(MEMBERS_MOST), "at {}", machine.name);
+        }
+        let (after, _) = said(&simulation, "register");
+        assert_eq!(after, before, "nobody reads without a cause");
+    });
+}
--- a/crates/quorum/src/duty.rs
+++ b/crates/quorum/src/duty.rs
@@ -19,6 +19,11 @@
 /// A process that was heard of within this time is in sight: digests are compared each second.
 pub const FRESH: Duration = Duration::from_millis(1400);
 
+/// The most members that a membership grows to. Each operation asks all members, and each change names them all to
+/// all: with a hundred of them a start takes longer than its changes of the membership come. Eleven bear five losses;
+/// other control nodes wait for a place and ask the members.
+pub const MEMBERS_MOST: usize = 11;
+
 /// What a replica holds on its own disk. Of two, the greater one has all that was chosen in the lesser one: an epoch
 /// begins with what the one before it chose, and within an epoch versions only rise.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -197,7 +202,7 @@
         let complete = view.sighted().count() == view.membership.members.len();
         let gone: &[&Member] = match view.waiting() {
             Some(_) if !replaced.is_empty() => &replaced[..1],
-            Some(_) if complete => &[],
+            Some(_) if complete && view.membership.members.len() < MEMBERS_MOST => &[],
             // A member that is out of sight for less comes back, or its place is free: more members than disks that
             // live would be more votes to wait for.
             Some(_) => return None,
