--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -21,7 +21,7 @@
             let agent = self.clone();
             tokio::task::spawn_local(async move {
                 tokio::time::sleep(pause).await;
-                agent.look_at_operations(false);
+                agent.look_at_operations();
             });
         }
         if let Some(membership) = work.membership {
@@ -29,9 +29,16 @@
         }
     }
 
-    pub(super) fn look_at_operations(self: &Rc<Self>, at_once: bool) {
+    pub(super) fn look_at_operations(self: &Rc<Self>) {
         if let Some(register) = &self.register {
-            self.carry_out(register.look(at_once));
+            self.carry_out(register.look());
+        }
+    }
+
+    /// A replica can be reached from now on: it is asked what is open for it.
+    pub(super) fn carry_out_at(self: &Rc<Self>, address: &str) {
+        if let Some(register) = &self.register {
+            self.carry_out(register.reached(address));
         }
     }
 
@@ -156,7 +163,7 @@
     /// Reads the register at start, and where the own disk is behind: that brings it up, whether or not anybody writes.
     pub(super) fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        self.look_at_operations(false);
+        self.look_at_operations();
         if (!self.read.get() || self.is_behind(register)) && !self.reading.replace(true) {
             let agent = self.clone();
             tokio::task::spawn_local(async move {
--- a/crates/quorum/src/operation.rs
+++ b/crates/quorum/src/operation.rs
@@ -194,6 +194,12 @@
         Step::send(self.requests().into_iter().filter(|(member, _)| !answered(member)).collect())
     }
 
+    /// What this stage asks of the replica at an address, if that has not answered.
+    pub fn unanswered(&self, address: &str) -> Vec<(Member, Request)> {
+        let open = |member: &Member| member.address == address && !self.answers.contains_key(&member.disk);
+        self.requests().into_iter().filter(|(member, _)| open(member)).collect()
+    }
+
     /// Whether so many have refused that no majority is left to do as asked.
     fn is_lost(&self) -> bool {
         self.refused.len() + self.asked().majority() > self.asked().members.len()
