--- a/crates/node/tests/replacements.rs
+++ b/crates/node/tests/replacements.rs
@@ -138,8 +138,7 @@
 
     /// These two don't reach each other.
     fn part(&self, a: &Machine, b: &Machine) {
-        self.simulation.network.sever(&a.ip, &b.ip);
-        self.simulation.network.sever(&b.ip, &a.ip);
+        self.simulation.network.part(&a.ip, &b.ip);
     }
 
     /// Its process is gone, and its disk with it.
@@ -513,13 +512,13 @@
         let (behind, wiped) = (world.control(4), world.control(3));
         // It knows of the order: only the epoch is what it misses.
         world.pass(ms(2000)).await;
-        world.simulation.network.cut([behind.ip.clone()]);
+        world.simulation.network.cut(Direction::Both, [behind.ip.clone()]);
         world.wipe(&wiped);
         world.start(&wiped);
         world.pass(CATCH_UP).await;
         let epoch = world.epoch();
         assert!(!world.members().is_empty() && world.has_disk(&wiped), "{:?}", world.epochs);
-        world.simulation.network.mend();
+        world.simulation.network.mend_all();
         world.pass(CATCH_UP).await;
         assert_eq!(world.epoch(), epoch, "nothing else changed");
         let safe = behind.storage.as_ref().expect("a disk").safe.borrow().clone();
