--- a/crates/node/tests/replacements.rs
+++ b/crates/node/tests/replacements.rs
@@ -138,8 +138,7 @@
 
     /// These two don't reach each other.
     fn part(&self, a: &Machine, b: &Machine) {
-        self.simulation.network.sever(&a.ip, &b.ip);
-        self.simulation.network.sever(&b.ip, &a.ip);
+        self.simulation.network.part(&a.ip, &b.ip);
     }
 
     /// Its process is gone, and its disk with it.
