--- a/crates/gossip/tests/departed.rs
+++ b/crates/gossip/tests/departed.rs
@@ -69,7 +69,7 @@
     let (mut born, mut now) = (LIVE, Duration::ZERO);
     let mut servers: Vec<Played> =
         (0..LIVE).map(|n| Played { id: n, address: n, seq: 0, at: n as usize % 2 }).collect();
-    let (mut addresses, mut most, mut nodes) = (LIVE, [0; 3], 0);
+    let (mut addresses, mut most, mut nodes) = (LIVE, [(0, 0); 3], 0);
     for second in 0..3 * 3600u64 {
         now += SECOND;
         // A restart each 2.16 seconds.
@@ -108,17 +108,21 @@
             learn(&mut directories[1 - n], told, now);
         }
         let hour = (second / 3600) as usize;
-        let held = directories.iter().map(|d| d.servers().count() + d.nodes().count() + d.remembered() / 20);
-        most[hour] = held.max().unwrap_or(0).max(most[hour]);
+        for directory in &directories {
+            let (entries, names) = &mut most[hour];
+            *entries = (directory.servers().count() + directory.nodes().count()).max(*entries);
+            *names = directory.remembered().max(*names);
+        }
     }
     let [a, b] = &mut directories;
     compare(a, b, now);
     let live = |d: &Directory| d.servers().filter(|s| s.state < State::Gone && !s.is_silent()).count();
     assert_eq!(directories.each_ref().map(live), [LIVE as usize; 2]);
     assert_eq!(directories[0].digest(1), directories[1].digest(1));
-    println!("entries, and a twentieth for each name: {most:?} in each hour");
-    // Those that ended in the last ten minutes, and what is silent since a machine was lost.
-    assert!(most.iter().all(|held| *held < 700), "{most:?}");
+    println!("entries and names at most in each hour: {most:?}");
+    // The servers that live, those that ended in the last ten minutes, and what fell silent with its machine.
+    assert!(most.iter().all(|(entries, _)| *entries < 500), "{most:?}");
+    assert!(most[2].1 < 3 * 3600 * 100 / 216, "no more names than restarts: {most:?}");
     assert!(directories.iter().all(|d| d.nodes().count() < 10));
 }
 
@@ -227,3 +231,14 @@
     there.tick(&Authority::Holder(term), HOUR * 25 + SECOND);
     assert_eq!(there.server("t").map(|s| s.state), Some(State::Gone));
 }
+
+/// Names are forgotten after a day, and the oldest ones before that where there are too many.
+#[test]
+fn names_are_bounded_in_time_and_number() {
+    let mut here = directory("a", Duration::ZERO);
+    (0..61_000).for_each(|n| drop(here.left(&format!("s{n}"), SECOND)));
+    here.tick(&Authority::Own, A_WHILE);
+    assert_eq!((here.servers().count(), here.remembered()), (0, 60_000));
+    here.tick(&Authority::Own, A_WHILE + HOUR * 25);
+    assert_eq!(here.remembered(), 0);
+}
