--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -301,6 +301,11 @@
 
     // What is known of servers and gatherers.
 
+    /// How many servers are kept here.
+    pub fn servers_kept(&self) -> usize {
+        self.known.borrow().len()
+    }
+
     pub fn knows_servers(&self) -> bool {
         self.known.borrow().values().any(|(_, health)| *health == Health::Ready)
     }
--- /dev/null
+++ b/crates/node/tests/bounds.rs
@@ -0,0 +1,58 @@
+//! What a gateway's data plane keeps of servers that are gone: nothing.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ashvane_gossip::{Directory, Heartbeat, Node, State};
+use ashvane_node::data_plane::DataPlane;
+use ashvane_node::pool::Tcp;
+use ashvane_node::settings::Settings;
+use slog::{Discard, Logger, o};
+use tokio::task::LocalSet;
+
+const SETTINGS: &str = "node = \"g\"\nip = \"10.0.0.1\"\nzone = \"z\"\ninternal-ports = [7080, 7095]\nbootstrap = false\n\
+    seed-nodes = [\"10.0.0.2:8047\"]\nbeat-interval-ms = 1000\n[listen]\nfront = \"10.0.0.1:8043\"\n";
+
+fn me() -> Node {
+    Node {
+        name: "g".to_owned(),
+        life: 1,
+        age: 1,
+        down: false,
+        address: "10.0.0.1:7080".to_owned(),
+        control: None,
+        zone: "z".to_owned(),
+        front: true,
+        disk: None,
+    }
+}
+
+/// Forty thousand servers a day start anew, each under an id of its own: they used to stay for good.
+#[tokio::test(start_paused = true)]
+async fn a_data_plane_keeps_nothing_of_servers_that_have_ended() {
+    let test = async {
+        let settings = Settings::parse(SETTINGS, "-").expect("settings");
+        let plane = DataPlane::new(&settings, Rc::new(Tcp), Logger::root(Discard, o!()));
+        let second = Duration::from_secs(1);
+        let mut directory = Directory::new(me(), second, Duration::ZERO);
+        for n in 0..500u32 {
+            let heartbeat = Heartbeat {
+                id: format!("s{n}"),
+                service: "v".to_owned(),
+                address: format!("x{}:1", n % 10),
+                zone: "z".to_owned(),
+                capacity: 2,
+                state: State::Ready,
+                seq: 1,
+            };
+            let mut updates = directory.beat(heartbeat, second * n);
+            if n >= 10 {
+                updates.extend(directory.left(&format!("s{}", n - 10), second * n));
+            }
+            plane.servers_changed(&directory, &updates);
+            assert!(plane.servers_kept() <= 11, "{} kept after {n}", plane.servers_kept());
+        }
+        assert!(plane.knows_servers());
+    };
+    LocalSet::new().run_until(test).await;
+}
