--- a/crates/node/src/agent/configuration.rs
+++ b/crates/node/src/agent/configuration.rs
@@ -21,7 +21,7 @@
             let agent = self.clone();
             tokio::task::spawn_local(async move {
                 tokio::time::sleep(pause).await;
-                agent.look_at_operations(false);
+                agent.look_at_operations();
             });
         }
         if let Some(membership) = work.membership {
@@ -29,9 +29,16 @@
         }
     }
 
-    pub(super) fn look_at_operations(self: &Rc<Self>, at_once: bool) {
+    pub(super) fn look_at_operations(self: &Rc<Self>) {
         if let Some(register) = &self.register {
-            self.carry_out(register.look(at_once));
+            self.carry_out(register.look());
+        }
+    }
+
+    /// A replica can be reached from now on: it is asked what is open for it.
+    pub(super) fn carry_out_at(self: &Rc<Self>, address: &str) {
+        if let Some(register) = &self.register {
+            self.carry_out(register.reached(address));
         }
     }
 
@@ -153,13 +160,11 @@
         Some(chosen.config().cloned())
     }
 
-    /// Reads the register at start, and whenever the own disk holds another version than the one in force: it has
-    /// missed a decision, or holds one that may not have been made.
+    /// Reads the register at start, and where the own disk is behind: that brings it up, whether or not anybody writes.
     pub(super) fn look_at_register(self: &Rc<Self>) {
         let Some(register) = &self.register else { return };
-        self.look_at_operations(false);
-        let differs = register.stored().map_or(0, |config| config.version) != self.version();
-        if (!self.read.get() || differs) && !self.reading.replace(true) {
+        self.look_at_operations();
+        if (!self.read.get() || self.is_behind(register)) && !self.reading.replace(true) {
             let agent = self.clone();
             tokio::task::spawn_local(async move {
                 agent.newest().await;
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -10,10 +10,16 @@
         if dialled.get(&address).is_some_and(|at| *at + DIAL_AGAIN > now) {
             return;
         }
+        // One call at a time: a process that is slow to answer must not be called once more with each tick.
+        if !self.calling.borrow_mut().insert(address.clone()) {
+            return;
+        }
         dialled.insert(address.clone(), now);
         let agent = self.clone();
         tokio::task::spawn_local(async move {
-            if !dial(address.clone(), agent.clone()).await {
+            let linked = dial(address.clone(), agent.clone()).await;
+            agent.calling.borrow_mut().remove(&address);
+            if !linked {
                 agent.unreached.borrow_mut().insert(address, Instant::now() + UNREACHED);
             }
         });
@@ -95,6 +101,7 @@
             if let Some(feed) = feed {
                 links.send(feed, &Message::Feed(true));
                 links.send(feed, &Message::Buckets(directory.buckets()));
+                self.mending.set(Some(Instant::now()));
             }
         }
     }
@@ -145,6 +152,7 @@
             }
             peer
         };
+        let address = peer.address.clone();
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
         let control_node = peer.disk.is_some();
@@ -156,7 +164,7 @@
         self.confirm_again();
         if let Some(register) = self.register.as_ref().filter(|_| control_node) {
             self.links.borrow_mut().send(number, &Message::Disk(self.disk_report(register)));
-            self.look_at_operations(true);
+            self.carry_out_at(&address);
         }
     }
 
