--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -52,8 +52,6 @@
 const WANT_AGAIN: Duration = Duration::from_millis(2500);
 /// How often the servers that are known are kept on disk, where they change.
 const HINT: Duration = Duration::from_secs(2);
-/// Further control nodes that a gateway calls at once while none that it has linked is of use.
-const TRIED_AT_ONCE: usize = 2;
 /// Digests that differ in a row, after which updates has been missed.
 const DIFFERS: u32 = 2;
 /// Time after which a gap may be mended over another link; shorter than the time between two digests.
--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -33,7 +33,7 @@
             let (directory, unreached, links) =
                 (self.directory.borrow(), self.unreached.borrow(), self.links.borrow());
             let reached = |n: &Node| self.is_control_node() || !unreached.contains_key(&n.address);
-            let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, &reached);
+            let chosen = peers(directory.me(), directory.nodes(), self.settings.losses, reached);
             let missing = chosen.iter().filter(|n| links.to(&n.name).is_none());
             let mut wanted: Vec<String> = missing.map(|n| n.address.clone()).collect();
             // One with a disk that is down may be back with nothing but seeds that are gone: the others look for it.
@@ -45,12 +45,9 @@
                 let own = &directory.me().address;
                 wanted
                     .extend(self.seed_addresses().into_iter().filter(|a| a != own && links.at(a).is_none()));
-                // None of those that one would choose answers: any other may. A gateway tries a few at a time, each
-                // in its own order: at a start that is slow, all of them would call all control nodes.
-                let at_once = if self.is_control_node() { usize::MAX } else { TRIED_AT_ONCE };
-                let ranked = peers(directory.me(), directory.nodes(), usize::MAX - 1, reached);
-                let others = ranked.iter().filter(|n| n.disk.is_some() && links.to(&n.name).is_none());
-                wanted.extend(others.take(at_once).map(|n| n.address.clone()));
+                // None of those that one would choose answers: any other may.
+                let others = directory.nodes().filter(|n| n.disk.is_some() && links.to(&n.name).is_none());
+                wanted.extend(others.filter(|n| &n.address != own).map(|n| n.address.clone()));
             }
             wanted
         };
