--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -6,11 +6,12 @@
 mod dissemination;
 mod hearing;
 mod membership;
+mod outbox;
 mod report;
 mod servers;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use self::outbox::{Due, Outbox};
 use crate::config::Config;
 use crate::confirmation::Confirmation;
 use crate::data_plane::DataPlane;
@@ -52,6 +54,8 @@
 const HINT: Duration = Duration::from_secs(2);
 /// Digests that differ in a row, after which updates has been missed.
 const DIFFERS: u32 = 2;
+/// Time after which a gap may be mended over another link; shorter than the time between two digests.
+const MEND_AGAIN: Duration = Duration::from_millis(700);
 
 pub struct Agent {
     pub settings: Settings,
@@ -68,8 +72,11 @@
     plane: Option<Rc<DataPlane>>,
     net: Rc<dyn Net>,
     confirmations: RefCell<BTreeMap<u64, Confirmation>>,
+    outbox: RefCell<Outbox>,
     numbers: Cell<u64>,
     dialled: RefCell<BTreeMap<String, Instant>>,
+    /// Addresses to which a call of this process's is under way or holds a link.
+    calling: RefCell<BTreeSet<String>>,
     unreached: RefCell<BTreeMap<String, Instant>>,
     /// Those that were linked, and since when they are not.
     lost: RefCell<BTreeMap<String, Option<Instant>>>,
@@ -80,6 +87,8 @@
     /// The link over which this gatherer is told what changes.
     feed: Cell<Option<u64>>,
     compared: Cell<Instant>,
+    /// When this process last began to mend a gap.
+    mending: Cell<Option<Instant>>,
     /// When the servers were last kept on disk, and how often the directory had changed by then.
     hinted: Cell<(Instant, u64)>,
     /// A server has left since then.
@@ -144,8 +153,11 @@
             plane,
             net,
             confirmations,
+            outbox: RefCell::default(),
+            mending: Cell::new(None),
             numbers: Cell::new(0),
             dialled,
+            calling: RefCell::default(),
             unreached,
             lost,
             watch: RefCell::new(Watch::new(limits)),
--- a/crates/quorum/tests/model.rs
+++ b/crates/quorum/tests/model.rs
@@ -6,13 +6,14 @@
 //! state is checked, so that both need no events of their own. Left out: what a disk has not synced when its power goes
 //! (an answer leaves after the sync), clocks, and anything beyond the events and the depth of each run.
 
+#[allow(dead_code, reason = "each test uses its part")]
 mod told;
 
 use std::sync::Arc;
 
 use ashvane_quorum::{
     Accepted, Ballot, Chosen, Decided, Member, Membership, Operation, Outcome, Replica, ReplicaState,
-    Request, Response, Standing, Step, StoredConfig, TextDigest, Value,
+    Request, Response, Step, StoredConfig, TextDigest, Value,
 };
 use stateright::{Checker as _, HasDiscoveries, Model, Property};
 use told::Told;
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -3,6 +3,7 @@
 //! acknowledged is read ever after, each epoch has one set, and in calm times writes go through. With rivals, operators
 //! race under one number and send old orders again, and messages come twice: each version has one text for all.
 
+#[allow(dead_code, reason = "each test uses its part")]
 mod told;
 
 use std::collections::{BTreeMap, BinaryHeap};
@@ -11,7 +12,7 @@
 
 use ashvane_quorum::duty::{DiskReport, Held, LiveDisk, View};
 use ashvane_quorum::{
-    Member, Membership, Operation, Outcome, Pace, Replica, ReplicaState, Request, Response, Standing, Step,
+    Member, Membership, Operation, Outcome, Pace, Replica, ReplicaState, Request, Response, Step,
     StoredConfig, TextDigest, Watch,
 };
 use told::{Order, Told};
