--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -17,7 +17,8 @@
 use ashvane_gossip::{
     Authority, Digest, Directory, HearingTerm, Heartbeat, Node, Server, Silence, State, Update, peers,
 };
-use ashvane_quorum::{Member, Membership, Outcome, StoredConfig, Watch, duty};
+use ashvane_quorum::duty::{self, DiskReport, Limits, LiveDisk, View};
+use ashvane_quorum::{Member, Membership, Outcome, StoredConfig, Watch};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 use tokio::sync::oneshot;
@@ -43,8 +44,10 @@
 const LOST_AFTER: Duration = Duration::from_millis(3000);
 /// Time in which others must have taken in that a server leaves, for its word to be acknowledged.
 const CONFIRMED: Duration = Duration::from_millis(800);
-/// Time after which a configuration that others have is asked for again.
-const WANT_AGAIN: Duration = Duration::from_millis(400);
+/// Time after which a configuration that has not come is asked for elsewhere, ...
+const WANT_ELSEWHERE: Duration = Duration::from_millis(400);
+/// ... and again on the same link: until then it is on its way, behind others on a narrow link.
+const WANT_AGAIN: Duration = Duration::from_millis(2500);
 /// How often the servers that are known are kept on disk, where they change.
 const HINT: Duration = Duration::from_secs(2);
 /// Digests that differ in a row, after which updates has been missed.
@@ -71,9 +74,9 @@
     /// Those that were linked, and since when they are not.
     lost: RefCell<BTreeMap<String, Option<Instant>>>,
     watch: RefCell<Watch>,
-    wanted: Cell<Option<(u64, Instant)>>,
-    /// Another than the one that feeds this gatherer has named a newer configuration first.
-    foretold: Cell<bool>,
+    /// What the other control nodes were told last of this process's disk.
+    reported: Cell<DiskReport>,
+    wanted: RefCell<dissemination::Wanted>,
     /// The link over which this gatherer is told what changes.
     feed: Cell<Option<u64>>,
     compared: Cell<Instant>,
@@ -124,8 +127,9 @@
         }
         // One with a disk knows what it knows: gatherers compare with it, not it with them.
         let alone = register.is_some();
-        let (stored, config, confirmations, dialled, unreached, lost, watch, links) = Default::default();
+        let (stored, config, confirmations, dialled, unreached, lost, links, wanted) = Default::default();
         let (verifications, answering, holding, taking) = Default::default();
+        let limits = Limits { catch_up: settings.catch_up, losses: settings.losses };
         let agent = Agent {
             seeds: settings.seeds.clone().into(),
             settings,
@@ -144,9 +148,9 @@
             dialled,
             unreached,
             lost,
-            watch,
-            wanted: Cell::new(None),
-            foretold: Cell::new(false),
+            watch: RefCell::new(Watch::new(limits)),
+            reported: Cell::default(),
+            wanted,
             feed: Cell::new(None),
             compared: Cell::new(started),
             hinted: Cell::new((started, 0)),
@@ -194,9 +198,11 @@
             && self.plane.as_ref().is_some_and(|plane| plane.knows_servers())
     }
 
+    /// This process was told to end: it is not ready any more, and the other control nodes know.
     pub fn leave(&self) {
         if !self.leaving.replace(true) {
             info!(self.log, "leaving");
+            self.report_disk();
         }
     }
 
@@ -213,6 +219,8 @@
         self.look_at_verifications();
         self.look_at_wait();
         self.look_at_register();
+        self.report_disk();
+        self.catch_up();
         self.look_at_members();
         self.look_at_hints();
         let now = Instant::now();
--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ashvane_quorum::duty::Held;
 use ashvane_quorum::{
     Chosen, Member, Membership, Operation, Outcome, Pace, Replica, Request, Response, Step, StoredConfig,
 };
@@ -62,12 +63,19 @@
     pub membership: Option<Membership>,
 }
 
+fn held(replica: &Replica) -> Held {
+    let epoch = replica.state().membership.epoch;
+    Held { epoch, version: replica.stored().map_or(0, |config| config.version) }
+}
+
 /// The register as one process takes part in it.
 pub struct Register {
     /// Disk and life: the first part of the names of all operations.
     name: String,
     replica: RefCell<Replica>,
     disk: Disk,
+    /// What is synced there.
+    held: Cell<Held>,
     operations: RefCell<BTreeMap<u64, Running>>,
     pending: RefCell<BTreeMap<u64, Pending>>,
     last_number: Cell<u64>,
@@ -78,7 +86,8 @@
     pub fn new(replica: Replica, disk: Disk, life: u64) -> Self {
         let name = format!("{}/{life:x}", replica.state().disk);
         let (operations, pending, last_number) = Default::default();
-        Register { name, replica: RefCell::new(replica), disk, operations, pending, last_number }
+        let held = Cell::new(held(&replica));
+        Register { name, replica: RefCell::new(replica), disk, held, operations, pending, last_number }
     }
 
     /// The configuration that the own replica has accepted.
@@ -91,6 +100,11 @@
         self.replica.borrow().state().membership.clone()
     }
 
+    /// What this process's own disk holds for certain.
+    pub fn held(&self) -> Held {
+        self.held.get()
+    }
+
     /// The own disk.
     pub fn disk(&self) -> &Disk {
         &self.disk
@@ -100,16 +114,17 @@
     pub fn handle(self: &Rc<Self>, request: &Request) -> impl Future<Output = Option<Response>> + use<> {
         let (response, changed) = self.replica.borrow_mut().handle(request);
         let safe = self.disk.keep(changed.then(|| self.replica.borrow().state().clone()));
-        async move { safe.await.ok().map(|()| response) }
+        let (held, register) = (held(&self.replica.borrow()), self.clone());
+        async move {
+            safe.await.ok()?;
+            register.held.set(register.held.get().max(held));
+            Some(response)
+        }
     }
 
     /// What was chosen is taken over by the own replica where it missed it.
-    pub fn learn(&self, chosen: &Chosen) {
-        let request = Request::Learn { epoch: chosen.epoch, accepted: chosen.accepted.clone() };
-        let (_, changed) = self.replica.borrow_mut().handle(&request);
-        if changed {
-            drop(self.disk.keep(Some(self.replica.borrow().state().clone())));
-        }
+    pub fn learn(self: &Rc<Self>, chosen: &Chosen) -> impl Future<Output = Option<Response>> + use<> {
+        self.handle(&Request::Learn { epoch: chosen.epoch, accepted: chosen.accepted.clone() })
     }
 
     fn number(&self) -> u64 {
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -10,13 +10,14 @@
 
 use ashvane_node::agent::{Agent, TICK};
 use ashvane_node::disk::{Disk, Whole};
+use ashvane_node::front::Door;
 use ashvane_node::links::{self, Dialled, Net, Ways};
-use ashvane_node::program::{node, replica};
+use ashvane_node::program::{Departure, node, replica};
 use ashvane_node::register::Register;
 use ashvane_node::settings::Settings;
 use slog::{Discard, Drain, KV as _, Logger, OwnedKVList, Record, o};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, duplex};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, interval, sleep, timeout};
 
@@ -28,6 +29,8 @@
 const WAY: Duration = ms(4);
 /// What a sync takes.
 const SYNC: Duration = ms(5);
+/// Time between a process being told to end and its end by force.
+pub const GRACE: Duration = ms(6000);
 /// Bytes that wait in a connection.
 const WINDOW: usize = 64 << 10;
 
@@ -42,16 +45,56 @@
     )
 }
 
+/// A configuration with so many routes, whose packed text is some fifty bytes for each.
+#[allow(dead_code, reason = "not all tests that share the simulation have large configurations")]
+pub fn wide_configuration(version: u64, routes: usize) -> String {
+    let mut rng = fastrand::Rng::with_seed(version);
+    let mut name = |len: usize| (0..len).map(|_| rng.alphanumeric()).collect::<String>();
+    let more: String = (0..routes)
+        .map(|_| {
+            format!(
+                ",{{\"name\":\"r-{}\",\"host\":\"h.example\",\"path-prefix\":\"/{}/\",\"kind\":\"idempotent\",\
+                 \"deadline-ms\":2000,\"target-ms\":200,\"priority\":1,\"service\":\"s\",\"max-tries\":2}}",
+                name(16),
+                name(24)
+            )
+        })
+        .collect();
+    configuration(version, 0).replace("}],\"services\"", &format!("}}{more}],\"services\""))
+}
+
 type Job = Box<dyn FnOnce(Rc<Agent>)>;
 
+/// Some machines that are cut off from all others, both ways or one way.
+struct Cut {
+    far: BTreeSet<String>,
+    /// What the others say does not reach them.
+    inward: bool,
+    /// What they say does not reach the others.
+    outward: bool,
+}
+
+impl Cut {
+    fn stops(&self, from: &str, to: &str) -> bool {
+        match (self.far.contains(from), self.far.contains(to)) {
+            (false, true) => self.inward,
+            (true, false) => self.outward,
+            _ => false,
+        }
+    }
+}
+
 /// The network: who listens, and which machines are cut off from the others.
 #[derive(Default)]
 pub struct Network {
     doors: RefCell<BTreeMap<String, mpsc::UnboundedSender<Ways>>>,
-    /// Machines on the far side of a cut, by the first part of their addresses.
-    far: RefCell<BTreeSet<String>>,
-    /// Machines that nothing reaches, though what they say arrives.
-    deaf: RefCell<BTreeSet<String>>,
+    /// By number, each until it is mended.
+    cuts: RefCell<BTreeMap<u64, Cut>>,
+    next_cut: Cell<u64>,
+    /// What a message may take longer than [`WAY`], each a time of its own.
+    pub jitter: Cell<Duration>,
+    /// Machines that take in so many bytes a second, and until when what is on its way keeps each busy.
+    narrow: RefCell<BTreeMap<String, (u64, Instant)>>,
     /// Ways between two machines that carry nothing, by their addresses.
     severed: RefCell<BTreeSet<(String, String)>>,
     /// Rises with each moment at which a machine's connections break.
@@ -64,24 +107,51 @@
     address.split_once(':').map_or(address, |(host, _)| host)
 }
 
+/// Which ways a cut stops what is said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    Both,
+    Inward,
+    Outward,
+}
+
 impl Network {
     /// Whether what one machine says does not reach another.
     fn is_cut(&self, from: &str, to: &str) -> bool {
-        let far = self.far.borrow();
         let way = (host(from).to_owned(), host(to).to_owned());
-        far.contains(&way.0) != far.contains(&way.1)
-            || self.deaf.borrow().contains(&way.1)
-            || self.severed.borrow().contains(&way)
+        self.severed.borrow().contains(&way)
+            || self.cuts.borrow().values().any(|cut| cut.stops(&way.0, &way.1))
     }
 
     /// What one machine says no longer reaches another; the way back is left as it is.
-    #[allow(dead_code, reason = "not all tests that share the simulation cut single ways")]
     pub fn sever(&self, from: &str, to: &str) {
         self.severed.borrow_mut().insert((from.to_owned(), to.to_owned()));
     }
 
-    pub fn deafen(&self, machine: &str) {
-        self.deaf.borrow_mut().insert(machine.to_owned());
+    /// A machine takes in so many bytes a second, over all its connections.
+    #[allow(dead_code, reason = "not all tests that share the simulation have narrow links")]
+    pub fn narrow(&self, machine: &str, bytes_a_second: u64) {
+        self.narrow.borrow_mut().insert(machine.to_owned(), (bytes_a_second, Instant::now()));
+    }
+
+    /// What so many bytes wait for and take at the machine that they are for.
+    fn takes(&self, to: &str, bytes: usize) -> Duration {
+        let (mut narrow, now) = (self.narrow.borrow_mut(), Instant::now());
+        let Some((rate, busy)) = narrow.get_mut(host(to)) else { return Duration::ZERO };
+        *busy = now.max(*busy) + Duration::from_secs_f64(bytes as f64 / *rate as f64);
+        *busy - now
+    }
+
+    /// Neither of two machines reaches the other.
+    pub fn part(&self, a: &str, b: &str) {
+        self.sever(a, b);
+        self.sever(b, a);
+    }
+
+    /// All reach each other again.
+    pub fn mend_all(&self) {
+        self.cuts.borrow_mut().clear();
+        self.severed.borrow_mut().clear();
     }
 
     pub fn break_all(&self, machine: &str) {
@@ -93,14 +163,26 @@
         [a, b].iter().filter_map(|m| breaks.get(host(m))).sum()
     }
 
-    pub fn mend(&self) {
-        self.cut([]);
-        self.deaf.borrow_mut().clear();
-        self.severed.borrow_mut().clear();
+    pub fn mend(&self, cut: u64) {
+        self.cuts.borrow_mut().remove(&cut);
     }
 
-    pub fn cut(&self, far: impl IntoIterator<Item = String>) {
-        *self.far.borrow_mut() = far.into_iter().collect();
+    /// Cuts these machines off from all others; the number mends it.
+    pub fn cut(&self, direction: Direction, far: impl IntoIterator<Item = String>) -> u64 {
+        let number = self.next_cut.get() + 1;
+        self.next_cut.set(number);
+        let (inward, outward) = (direction != Direction::Outward, direction != Direction::Inward);
+        self.cuts.borrow_mut().insert(number, Cut { far: far.into_iter().collect(), inward, outward });
+        number
+    }
+
+    fn is_far(&self, machine: &str) -> bool {
+        self.cuts.borrow().values().any(|cut| cut.far.contains(machine))
+    }
+
+    fn delay(&self) -> Duration {
+        let jitter = self.jitter.get().as_millis() as u64;
+        WAY + if jitter == 0 { Duration::ZERO } else { ms(fastrand::u64(..jitter)) }
     }
 
     fn carry(&self, pump: impl Future<Output = ()> + 'static) {
@@ -117,7 +199,7 @@
     let whole = network.broken(&from, &to);
     while network.broken(&from, &to) == whole {
         let n = read.read(&mut bytes).await.unwrap_or(0);
-        sleep(WAY).await;
+        sleep(network.delay() + network.takes(&to, n)).await;
         while network.is_cut(&from, &to) {
             sleep(ms(20)).await;
         }
@@ -159,9 +241,10 @@
     pub sync: Rc<Cell<Duration>>,
 }
 
-/// A process and all of its tasks: it can be frozen, and is gone whole when it is dropped.
+/// A process and all of its tasks: it can be frozen, and is gone whole when it is dropped or has ended.
 struct Body {
     tasks: LocalSet,
+    ended: Rc<Cell<bool>>,
     frozen: Rc<Cell<bool>>,
     waker: Rc<RefCell<Option<Waker>>>,
 }
@@ -171,7 +254,11 @@
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         *self.waker.borrow_mut() = Some(cx.waker().clone());
-        if self.frozen.get() { Poll::Pending } else { Pin::new(&mut self.tasks).poll(cx) }
+        if self.frozen.get() {
+            return Poll::Pending;
+        }
+        let all_done = Pin::new(&mut self.tasks).poll(cx);
+        if self.ended.get() { Poll::Ready(()) } else { all_done }
     }
 }
 
@@ -181,7 +268,7 @@
     pub ip: String,
     pub storage: Option<Storage>,
     /// As its settings file has them: those of the day on which it was written, and how many losses are to be borne.
-    seeds: Vec<String>,
+    pub seeds: RefCell<Vec<String>>,
     losses: usize,
     /// Rises with each start of its process.
     pub life: Cell<u32>,
@@ -190,7 +277,12 @@
     /// Taken away for good.
     pub gone: Cell<bool>,
     body: RefCell<Option<JoinHandle<()>>>,
+    /// Told to end.
+    terminated: RefCell<Rc<Notify>>,
+    ended: Rc<Cell<bool>>,
     frozen: Rc<Cell<bool>>,
+    /// Rises whenever the process is started, killed, frozen or thawed.
+    disturbed: Cell<u32>,
     waker: Rc<RefCell<Option<Waker>>>,
     agent: Rc<RefCell<Option<Rc<Agent>>>>,
     jobs: RefCell<Option<mpsc::UnboundedSender<Job>>>,
@@ -200,7 +292,7 @@
     fn new(name: String, number: usize, disk: bool, seeds: Vec<String>, losses: usize) -> Rc<Self> {
         let storage = disk.then(|| Storage { safe: Rc::default(), sync: Rc::new(Cell::new(SYNC)) });
         let well_since = Cell::new(Some(Instant::now()));
-        let ip = format!("10.0.0.{number}");
+        let (ip, seeds) = (format!("10.0.0.{number}"), RefCell::new(seeds));
         Rc::new(Machine { name, ip, storage, seeds, losses, well_since, ..Machine::default() })
     }
 
@@ -212,11 +304,27 @@
         self.storage.is_some() && !self.gone.get()
     }
 
+    /// Its settings name these machines from its next start on.
+    #[allow(dead_code, reason = "not all tests that share the simulation change settings")]
+    pub fn name_seeds(&self, seeds: &[Rc<Machine>]) {
+        *self.seeds.borrow_mut() = seeds.iter().map(|m| format!("{}:8047", m.ip)).collect();
+    }
+
     pub fn freeze(&self, frozen: bool) {
+        self.disturbed.set(self.disturbed.get() + 1);
         self.frozen.set(frozen);
         self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
 
+    pub fn is_stalled(&self) -> bool {
+        self.storage.as_ref().is_some_and(|storage| storage.sync.get() > SYNC)
+    }
+
+    /// Whether nothing is done to it at present.
+    pub fn is_well(&self, network: &Network) -> bool {
+        self.body.borrow().is_some() && !self.frozen.get() && !self.is_stalled() && !network.is_far(&self.ip)
+    }
+
     /// Its disk is empty from now on.
     pub fn wipe(&self) {
         self.storage.iter().for_each(|storage| drop(storage.safe.take()));
@@ -230,6 +338,24 @@
         network.doors.borrow_mut().retain(|address, _| host(address) != self.ip);
     }
 
+    /// The process is told to end, and ended if it takes longer than the platform waits. How long it took; none if it
+    /// was ended.
+    pub async fn terminate(&self, network: &Network) -> Option<Duration> {
+        let told = Instant::now();
+        self.terminated.borrow().notify_one();
+        while !self.ended.get() && told.elapsed() < GRACE {
+            sleep(ms(10)).await;
+        }
+        let took = self.ended.get().then(|| told.elapsed());
+        self.kill(network);
+        took
+    }
+
+    /// While this stands as it is and is there, the process runs and was not held up.
+    pub fn undisturbed(&self) -> Option<u32> {
+        (self.agent().is_some() && !self.frozen.get()).then(|| self.disturbed.get())
+    }
+
     /// What the process says to this, unless it takes longer than its caller waits.
     pub async fn ask<T: 'static, F: Future<Output = T> + 'static>(
         &self, patience: Duration, job: impl FnOnce(Rc<Agent>) -> F + 'static,
@@ -263,21 +389,23 @@
             self.name,
             self.ip,
             self.name.len() % 3,
-            self.seeds,
+            self.seeds.borrow(),
             self.losses,
         );
         let settings = Settings::parse(&text, "-").expect("settings");
         let tasks = LocalSet::new();
         let life = (u64::from(self.life.get()) << 32) | u64::from(fastrand::u32(..));
-        tasks.spawn_local(process(
-            settings,
-            life,
-            self.storage.clone(),
-            network.clone(),
-            self.agent.clone(),
-            todo,
-        ));
-        let body = Body { tasks, frozen: self.frozen.clone(), waker: self.waker.clone() };
+        self.ended.set(false);
+        let (agent, terminated, ended) = (self.agent.clone(), Rc::new(Notify::new()), self.ended.clone());
+        *self.terminated.borrow_mut() = terminated.clone();
+        let orders = Orders { todo, terminated };
+        let running = process(settings, life, self.storage.clone(), network.clone(), agent, orders);
+        tasks.spawn_local(async move {
+            running.await;
+            ended.set(true);
+        });
+        let ended = self.ended.clone();
+        let body = Body { tasks, ended, frozen: self.frozen.clone(), waker: self.waker.clone() };
         *self.body.borrow_mut() = Some(spawn_local(body));
         *self.jobs.borrow_mut() = Some(jobs);
     }
@@ -320,10 +448,16 @@
     }
 }
 
+/// What a process is told from outside.
+struct Orders {
+    todo: mpsc::UnboundedReceiver<Job>,
+    terminated: Rc<Notify>,
+}
+
 /// As `program::serve` has it, but for the sockets that face the outside.
 async fn process(
     settings: Settings, life: u64, storage: Option<Storage>, network: Rc<Network>,
-    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut todo: mpsc::UnboundedReceiver<Job>,
+    slot: Rc<RefCell<Option<Rc<Agent>>>>, mut orders: Orders,
 ) {
     let log = match is_aloud() {
         true => Logger::root(Aloud.fuse(), o!("at" => settings.node.clone())),
@@ -362,17 +496,25 @@
     *slot.borrow_mut() = Some(agent.clone());
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let (mut departure, door) = (Departure::default(), Door::default());
     loop {
+        // In this order: without it the runtime draws one, and a seed's day is never the same twice.
         tokio::select! {
+            biased;
             _ = ticks.tick() => agent.tick(),
             Some((read, write)) = callers.recv() => {
                 spawn_local(links::run(read, write, false, agent.clone()));
             }
-            Some(job) = todo.recv() => job(agent.clone()),
+            Some(job) = orders.todo.recv() => job(agent.clone()),
+            () = orders.terminated.notified() => departure.begin(),
+        }
+        if departure.is_over(&agent, &door) {
+            return;
         }
     }
 }
 
+#[derive(Default)]
 pub struct Simulation {
     pub network: Rc<Network>,
     pub machines: RefCell<Vec<Rc<Machine>>>,
@@ -416,8 +558,32 @@
     }
 }
 
+thread_local! {
+    static PANICS: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// A task that panics ends by itself and nobody else is told: every panic is noted.
+fn note_panics() {
+    static ONCE: std::sync::Once = std::sync::Once::new();
+    ONCE.call_once(|| {
+        let before = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            PANICS.with_borrow_mut(|panics| panics.push(info.to_string()));
+            before(info);
+        }));
+    });
+    PANICS.take();
+}
+
+/// No task of any process has panicked so far.
+pub fn check_panics() {
+    let panics = PANICS.with_borrow(|panics| panics.join("; "));
+    assert!(panics.is_empty(), "a task panicked: {panics}");
+}
+
 /// Plays on one thread, with time that is counted.
 pub fn play<F: Future>(world: F) -> F::Output {
+    note_panics();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     let began = async move {
         BEGAN.set(Some(Instant::now()));
