--- a/crates/gossip/tests/updates.rs
+++ b/crates/gossip/tests/updates.rs
@@ -1,5 +1,5 @@
-//! Boards under random load: servers come, beat, leave and crash; updates is lost, doubled, late and in any order;
-//! processes restart with nothing. What must hold is checked all along, and agreement once the updates gets through.
+//! Directories under random load: servers come, beat, leave and crash; updates are lost, doubled, late and in any order;
+//! processes restart with nothing. What must hold is checked all along, and agreement once the updates get through.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -28,7 +28,7 @@
 struct Hall {
     rng: fastrand::Rng,
     now: Duration,
-    boards: Vec<Directory>,
+    directories: Vec<Directory>,
     lives: u64,
     /// On their way: to whom, and what.
     updates: Vec<(usize, Vec<Update>)>,
@@ -42,18 +42,18 @@
 }
 
 impl Hall {
-    fn new(seed: u64, boards: usize) -> Self {
+    fn new(seed: u64, directories: usize) -> Self {
         let start = |n| Directory::new(node(n, n as u64), BEAT, Duration::ZERO);
         Hall {
             rng: fastrand::Rng::with_seed(seed),
             now: Duration::ZERO,
-            boards: (0..boards).map(start).collect(),
+            directories: (0..directories).map(start).collect(),
             lives: 1000,
             updates: Vec::new(),
             servers: BTreeMap::new(),
             leaving: BTreeSet::new(),
             born: 0,
-            holding: vec![None; boards],
+            holding: vec![None; directories],
         }
     }
 
@@ -61,9 +61,9 @@
     fn authority(&mut self, at: usize) -> Authority {
         if at < 2
             && self.rng.usize(0..10) == 0
-            && let Some(term) = self.boards[at].next_hearing()
+            && let Some(term) = self.directories[at].next_hearing()
         {
-            let told = self.boards[at].learn(Update::Hearing(term.clone()), self.now);
+            let told = self.directories[at].learn(Update::Hearing(term.clone()), self.now);
             self.tell(at, told);
             self.holding[at] = Some(term);
         }
@@ -78,7 +78,7 @@
         if updates.is_empty() {
             return;
         }
-        for to in (0..self.boards.len()).filter(|to| *to != from) {
+        for to in (0..self.directories.len()).filter(|to| *to != from) {
             // Lost, once or twice.
             for _ in 0..self.rng.usize(0..3) {
                 self.updates.push((to, updates.clone()));
@@ -91,7 +91,7 @@
         let Some((beat, seq)) = self.servers.get_mut(id) else { return };
         *seq += 1;
         let beat = Heartbeat { state, seq: *seq, ..beat.clone() };
-        let told = self.boards[at].beat(beat, self.now);
+        let told = self.directories[at].beat(beat, self.now);
         if state == State::Draining {
             self.leaving.insert(id.to_owned());
         }
@@ -101,10 +101,10 @@
     /// A gap is mended by ranks, as between two neighbours.
     fn compare(&mut self, a: usize, b: usize) {
         for (from, to) in [(a, b), (b, a)] {
-            let parts = self.boards[from].differing(&self.boards[to].buckets());
-            let updates = self.boards[from].newer_than(&self.boards[to].summary(parts));
+            let parts = self.directories[from].differing(&self.directories[to].buckets());
+            let updates = self.directories[from].newer_than(&self.directories[to].summary(parts));
             for updates in updates {
-                self.boards[to].learn(updates, self.now);
+                self.directories[to].learn(updates, self.now);
             }
         }
     }
@@ -144,32 +144,34 @@
                 self.beat(&id, State::Draining);
             }
             37..39 if crashes => {
-                let at = self.rng.usize(0..self.boards.len());
+                let at = self.rng.usize(0..self.directories.len());
                 self.lives += 1;
                 let life = self.lives;
-                self.boards[at] = Directory::new(node(at, life), BEAT, self.now);
+                self.directories[at] = Directory::new(node(at, life), BEAT, self.now);
                 self.holding[at] = None;
             }
             39..42 if crashes => {
-                let (from, of) = (self.rng.usize(0..self.boards.len()), self.rng.usize(0..self.boards.len()));
-                let told = self.boards[from].node_lost(&format!("n{of}"), self.now);
+                let (from, of) =
+                    (self.rng.usize(0..self.directories.len()), self.rng.usize(0..self.directories.len()));
+                let told = self.directories[from].node_lost(&format!("n{of}"), self.now);
                 self.tell(from, told);
             }
             42..60 => {
-                let at = self.rng.usize(0..self.boards.len());
+                let at = self.rng.usize(0..self.directories.len());
                 let authority = self.authority(at);
-                let told = self.boards[at].tick(&authority, self.now);
+                let told = self.directories[at].tick(&authority, self.now);
                 self.tell(at, told);
             }
             60..70 => {
-                let (a, b) = (self.rng.usize(0..self.boards.len()), self.rng.usize(0..self.boards.len()));
+                let (a, b) =
+                    (self.rng.usize(0..self.directories.len()), self.rng.usize(0..self.directories.len()));
                 self.compare(a, b);
             }
             _ if !self.updates.is_empty() => {
                 let at = self.rng.usize(0..self.updates.len());
                 let (to, updates) = self.updates.swap_remove(at);
                 let told: Vec<Update> =
-                    updates.into_iter().flat_map(|n| self.boards[to].learn(n, self.now)).collect();
+                    updates.into_iter().flat_map(|n| self.directories[to].learn(n, self.now)).collect();
                 self.tell(to, told);
             }
             _ => {}
@@ -183,7 +185,7 @@
     fn settle(&mut self) {
         self.updates.clear();
         for _ in 0..4 {
-            for a in 0..self.boards.len() {
+            for a in 0..self.directories.len() {
                 for b in 0..a {
                     self.compare(a, b);
                 }
@@ -197,18 +199,20 @@
     for seed in 0..16 {
         let mut hall = Hall::new(seed, 8);
         for _ in 0..1200 {
-            let before: Vec<BTreeMap<String, State>> = hall.boards.iter().map(states).collect();
-            let lives: Vec<u64> = hall.boards.iter().map(|b| b.me().life).collect();
+            let before: Vec<BTreeMap<String, State>> = hall.directories.iter().map(states).collect();
+            let lives: Vec<u64> = hall.directories.iter().map(|b| b.me().life).collect();
             hall.step(seed % 2 == 0);
-            for (n, directory) in hall.boards.iter().enumerate().filter(|(n, b)| b.me().life == lives[*n]) {
+            for (n, directory) in
+                hall.directories.iter().enumerate().filter(|(n, b)| b.me().life == lives[*n])
+            {
                 let now = states(directory);
                 assert!(before[n].iter().all(|(id, state)| now.get(id) >= Some(state)), "seed {seed}");
             }
         }
         hall.settle();
-        let digests: BTreeSet<u64> = hall.boards.iter().map(|b| b.digest(0).entries).collect();
+        let digests: BTreeSet<u64> = hall.directories.iter().map(|b| b.digest(0).entries).collect();
         assert_eq!(digests.len(), 1, "seed {seed}");
-        let all = hall.boards.iter().flat_map(|b| b.servers());
+        let all = hall.directories.iter().flat_map(|b| b.servers());
         let held: Vec<_> = all.filter(|s| hall.leaving.contains(&s.id)).collect();
         if seed % 2 == 1 {
             // Nobody has lost what it knew, so every word that a server leaves is known to all.
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -254,7 +254,7 @@
         if !self.machines[n].up {
             return;
         }
-        // News of the set, from any one that can be reached.
+        // An update of the set, from any one that can be reached.
         let other = self.rng.usize(0..self.machines.len());
         if self.machines[other].up && self.reach(n, other) {
             let membership = self.machines[other].known.clone();
