--- a/crates/node/src/register.rs
+++ b/crates/node/src/register.rs
@@ -19,6 +19,7 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which a change of the membership is given up; the duty begins another.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// Which connection a request went out on: an answer counts only if it comes back on the same one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Via {
--- a/crates/quorum/src/operation.rs
+++ b/crates/quorum/src/operation.rs
@@ -190,14 +190,18 @@
         if must_settle || self.is_lost() || (waited && !self.refused.is_empty()) {
             return self.begin();
         }
-        let answered = |member: &Member| self.answers.contains_key(&member.disk);
-        Step::send(self.requests().into_iter().filter(|(member, _)| !answered(member)).collect())
+        Step::send(self.open_requests().collect())
     }
 
     /// What this stage asks of the replica at an address, if that has not answered.
     pub fn unanswered(&self, address: &str) -> Vec<(Member, Request)> {
-        let open = |member: &Member| member.address == address && !self.answers.contains_key(&member.disk);
-        self.requests().into_iter().filter(|(member, _)| open(member)).collect()
+        self.open_requests().filter(|(member, _)| member.address == address).collect()
+    }
+
+    /// What this stage asks of those that have not answered.
+    fn open_requests(&self) -> impl Iterator<Item = (Member, Request)> {
+        let answered = |member: &Member| self.answers.contains_key(&member.disk);
+        self.requests().into_iter().filter(move |(member, _)| !answered(member))
     }
 
     /// Whether so many have refused that no majority is left to do as asked.
@@ -230,13 +234,11 @@
 
     /// What this stage asks of each member.
     fn requests(&self) -> Vec<(Member, Request)> {
-        if self.stage == Stage::Done {
-            return Vec::new();
-        }
-        self.asked().members.iter().filter_map(|m| Some((m.clone(), self.request(m)?))).collect()
+        let Some(request) = self.request() else { return Vec::new() };
+        self.asked().members.iter().map(|member| (member.clone(), request.clone())).collect()
     }
 
-    fn request(&self, _member: &Member) -> Option<Request> {
+    fn request(&self) -> Option<Request> {
         let epoch = self.membership.epoch;
         let known = self.known.as_ref().map(|accepted| accepted.ballot.clone());
         Some(match &self.stage {
@@ -337,7 +339,7 @@
             return Step::default();
         }
         let member = self.membership.member(&response.disk).cloned();
-        let request = member.and_then(|member| Some((member.clone(), self.request(&member)?)));
+        let request = member.and_then(|member| Some((member, self.request()?)));
         Step::send(request.into_iter().collect())
     }
 
