Whoever tells of what is gone is answered where updates are taken in, not at each caller

Both callers that have a link said it first and then took the update in. Behaviour as before: cut_off, start, links and confirmation pass, clippy clean.

--- a/crates/node/src/agent/connections.rs
+++ b/crates/node/src/agent/connections.rs
@@ -156,9 +156,7 @@
         self.lost.borrow_mut().insert(peer.name.clone(), None);
         self.unreached.borrow_mut().remove(&peer.address);
         let control_node = peer.disk.is_some();
-        let known = [Update::Node(peer)];
-        self.say_against(number, &known);
-        self.learn(known.into(), Some(number));
+        self.learn(vec![Update::Node(peer)], Some(number));
         self.compare(&mut self.links.borrow_mut(), &[number]);
         self.ask_for_verification();
         self.confirm_again();
@@ -173,7 +171,6 @@
             Message::Hello(_) | Message::Packed(_) => {}
             Message::Update { number: asked, updates } => {
                 let wanted = (asked > 0).then(|| updates.clone());
-                self.say_against(number, &updates);
                 self.learn(updates, Some(number));
                 if let Some(updates) = wanted {
                     let directory = self.directory.borrow();
--- a/crates/node/src/agent/dissemination.rs
+++ b/crates/node/src/agent/dissemination.rs
@@ -73,7 +73,7 @@
     }
 
     /// Whoever tells of what is down or has ended as if it ran is told so.
-    pub(super) fn say_against(&self, link: u64, updates: &[Update]) {
+    fn say_against(&self, link: u64, updates: &[Update]) {
         let directory = self.directory.borrow();
         let against: Vec<Update> = updates.iter().filter_map(|update| directory.against(update)).collect();
         if !against.is_empty() {
@@ -81,8 +81,12 @@
         }
     }
 
+    /// Takes over what is newer, and tells it on; whoever told what is gone as running hears so over the same link.
     pub(super) fn learn(self: &Rc<Self>, updates: Vec<Update>, from: Option<u64>) {
         let now = self.now();
+        if let Some(link) = from {
+            self.say_against(link, &updates);
+        }
         let told: Vec<Update> = {
             let mut directory = self.directory.borrow_mut();
             updates.into_iter().flat_map(|n| directory.learn(n, now)).collect()
