Inferred ends of servers are logged and counted, and heartbeats that change nothing

Neither the log, nor the counters, nor /api/state could tell whether gateways were not ready, admission refused, or servers were taken for ended: ended servers are not listed, no line says who inferred it and why, and a heartbeat that is ignored is answered like any other.

Change: the directory counts the servers that it infers to have terminated, with the evidence, and the heartbeats of terminated servers. A line a tick names the first one and the number; the line of counters and /api/state (`inferences`) have both totals.

--- a/crates/gossip/src/directory/mod.rs
+++ b/crates/gossip/src/directory/mod.rs
@@ -20,7 +20,11 @@
 use self::orphans::OrphanTracker;
 use self::server_table::ServerTable;
 use crate::digest::EntryDigests;
-use crate::{Heartbeat, Liveness, LivenessAuthority, Node, OrphanMonitorTerm, Server, ServerState, Update};
+use crate::inference::InferenceLog;
+use crate::{
+    Heartbeat, InferenceCounters, InferredTermination, Liveness, LivenessAuthority, Node, OrphanMonitorTerm,
+    Server, ServerState, TerminationEvidence, Update,
+};
 
 /// Time since the previous tick above which this process was stalled and could not receive heartbeats.
 const STALL_THRESHOLD: Duration = Duration::from_millis(1500);
@@ -44,6 +48,7 @@
     /// Number that increases with each change.
     revision: u64,
     digests: EntryDigests,
+    inferences: InferenceLog,
 }
 
 impl Directory {
@@ -62,6 +67,7 @@
             last_tick: now,
             revision: 0,
             digests: EntryDigests::default(),
+            inferences: InferenceLog::default(),
         };
         directory.insert_node(own, now);
         directory
@@ -131,6 +137,17 @@
         self.servers.tombstone_count() + self.nodes.tombstone_count()
     }
 
+    /// Returns what this process has inferred about servers, in numbers since its start.
+    #[must_use]
+    pub fn inference_counters(&self) -> InferenceCounters {
+        self.inferences.counters()
+    }
+
+    /// Returns the servers that were inferred to have terminated since the last call.
+    pub fn take_inferred_terminations(&mut self) -> Vec<InferredTermination> {
+        self.inferences.take_unreported()
+    }
+
     /// Returns the term with which this process may take the role of the orphan monitor, which is higher than
     /// every known term. Returns `None` while the known membership is older than the highest known term.
     #[must_use]
@@ -231,7 +248,8 @@
         if let Some(known) = self.servers.get(&server.id).filter(|_| is_known_by_id_only) {
             server = Server { state: ServerState::Terminated, ..known.clone() };
         }
-        changed.extend(self.terminate_previous_at(&server.id, &server.address, server.state, now));
+        let evidence = TerminationEvidence::Update(server.id.clone());
+        changed.extend(self.terminate_previous_at(&server.id, &server.address, server.state, evidence, now));
         self.insert_server(server.clone(), now);
         changed.push(Update::Server(server));
         changed
@@ -240,7 +258,8 @@
     /// Marks the previous server at the address of a new server as terminated, since each address has one
     /// server.
     fn terminate_previous_at(
-        &mut self, id: &ServerId, address: &Address, state: ServerState, now: Duration,
+        &mut self, id: &ServerId, address: &Address, state: ServerState, evidence: TerminationEvidence,
+        now: Duration,
     ) -> Vec<Update> {
         let is_new = self.servers.get(id).is_none() && state < ServerState::Terminated;
         if !is_new {
@@ -255,6 +274,7 @@
         if previous.is_available() && !self.heartbeats.is_monitored(id) {
             return Vec::new();
         }
+        self.inferences.termination_inferred(&previous.id, evidence);
         let terminated = Server { state: ServerState::Terminated, ..previous.clone() };
         self.insert_server(terminated.clone(), now);
         vec![Update::Server(terminated)]
@@ -264,6 +284,7 @@
     pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Duration) -> Vec<Update> {
         let known = self.servers.get(&heartbeat.id);
         if known.is_some_and(Server::is_terminated) || self.servers.has_tombstone_covering(&heartbeat) {
+            self.inferences.heartbeat_ignored();
             return Vec::new();
         }
         let is_late = self.heartbeats.is_late(&heartbeat);
@@ -275,7 +296,9 @@
             return Vec::new();
         }
         let state = known.map_or(heartbeat.state, |known| known.state.max(heartbeat.state));
-        let mut changed = self.terminate_previous_at(&heartbeat.id, &heartbeat.address, heartbeat.state, now);
+        let evidence = TerminationEvidence::Heartbeat(heartbeat.id.clone());
+        let mut changed =
+            self.terminate_previous_at(&heartbeat.id, &heartbeat.address, heartbeat.state, evidence, now);
         let server = Server {
             heartbeat_sequence: known_sequence.max(heartbeat.sequence),
             id: heartbeat.id,
@@ -384,11 +407,16 @@
     }
 
     /// Returns the servers that timed out earlier and are confirmed to have terminated.
-    fn newly_terminated(&self, authority: &LivenessAuthority, now: Duration) -> Vec<Server> {
+    fn newly_terminated(&mut self, authority: &LivenessAuthority, now: Duration) -> Vec<Server> {
         let may_terminate_all = matches!(authority, LivenessAuthority::MonitoredAndOrphans(_));
-        let may_terminate = |server: &&Server| may_terminate_all || server.monitor == self.own.name;
-        let confirmed = self.servers.confirmed_terminated(now).filter(may_terminate);
-        confirmed.map(|server| Server { state: ServerState::Terminated, ..server.clone() }).collect()
+        let mut terminated = Vec::new();
+        for (server, evidence) in self.servers.confirmed_terminated(now) {
+            if may_terminate_all || server.monitor == self.own.name {
+                self.inferences.termination_inferred(&server.id, evidence);
+                terminated.push(Server { state: ServerState::Terminated, ..server.clone() });
+            }
+        }
+        terminated
     }
 
     fn insert_node(&mut self, node: Node, now: Duration) {
--- a/crates/gossip/src/directory/server_table.rs
+++ b/crates/gossip/src/directory/server_table.rs
@@ -8,7 +8,7 @@
 use super::DEPARTED_ENTRY_RETENTION;
 use crate::digest::EntryDigests;
 use crate::tombstones::Tombstones;
-use crate::{Heartbeat, OrphanMonitorTerm, Server, ServerRank, ServerState};
+use crate::{Heartbeat, OrphanMonitorTerm, Server, ServerRank, ServerState, TerminationEvidence};
 
 /// Time after which a server that has timed out is considered terminated. It exceeds the duration of any
 /// partition. A server that was partitioned for longer and still runs is accepted again after
@@ -111,11 +111,16 @@
 
     /// Returns the timed-out servers that are confirmed to have terminated: either another server is
     /// available at their address, or they have been timed out for longer than any partition lasts.
-    pub(super) fn confirmed_terminated(&self, now: Duration) -> impl Iterator<Item = &Server> {
-        let is_overdue = move |since: &Duration| *since + TERMINATION_TIMEOUT <= now;
+    pub(super) fn confirmed_terminated(
+        &self, now: Duration,
+    ) -> impl Iterator<Item = (&Server, TerminationEvidence)> {
         self.timed_out_since.iter().filter_map(move |(id, since)| {
             let server = self.servers.get(id)?;
-            (is_overdue(since) || self.has_available_server_at(&server.address)).then_some(server)
+            if self.has_available_server_at(&server.address) {
+                Some((server, TerminationEvidence::AddressInUse))
+            } else {
+                (*since + TERMINATION_TIMEOUT <= now).then_some((server, TerminationEvidence::TimedOut))
+            }
         })
     }
 
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`Directory`] | the directory of one process, and the application of updates |
 //! | [`Node`], [`Server`] | the entries |
 //! | [`Liveness`], [`LivenessAuthority`], [`OrphanMonitorTerm`] | who may declare servers timed out |
+//! | [`InferredTermination`], [`InferenceCounters`] | what is inferred about servers that did not report their end |
 //! | [`Digest`], [`BucketDigests`], [`RankSummary`] | the data that peers compare |
 //! | [`select_peers`] | the selection of the peers of a process |
 //!
@@ -19,6 +20,7 @@
 mod digest;
 mod directory;
 mod heartbeat;
+mod inference;
 mod liveness;
 mod node;
 mod orphan_monitor;
@@ -31,6 +33,7 @@
 pub use digest::{BucketDigests, BucketSet, Digest, RankSummary};
 pub use directory::Directory;
 pub use heartbeat::Heartbeat;
+pub use inference::{InferenceCounters, InferredTermination, TerminationEvidence};
 pub use liveness::{Liveness, LivenessAuthority};
 pub use node::{Node, NodeRank};
 pub use orphan_monitor::OrphanMonitorTerm;
--- a/crates/node/src/agent/log.rs
+++ b/crates/node/src/agent/log.rs
@@ -1,5 +1,6 @@
 //! Log lines of a process about itself and the system. The operators' documentation explains each line.
 
+use ashvane_gossip::{InferredTermination, TerminationEvidence};
 use ashvane_identifiers::DiskId;
 use slog::{info, warn};
 
@@ -39,6 +40,10 @@
             LogEvent::OrphanMonitorClaimed { term } => {
                 info!(log, "acquired the orphan monitor role"; "epoch" => term.epoch, "round" => term.round);
             }
+            LogEvent::TerminationsInferred { count, first: InferredTermination { server, evidence } } => {
+                info!(log, "servers inferred to have terminated"; "count" => count,
+                    "first" => server.as_str(), "because" => describe(evidence));
+            }
             LogEvent::ShuttingDown => info!(log, "graceful shutdown started"),
             LogEvent::SeedsChanged { seeds } => {
                 info!(log, "seeds changed"; "seeds" => seeds.join(" "));
@@ -50,6 +55,7 @@
     pub fn log_counters(&self) {
         let engine = self.engine.borrow();
         let (directory, counters) = (engine.directory(), &engine.links().counters);
+        let inferences = directory.inference_counters();
         let sent = counters.sent.iter();
         let sent = sent.map(|(topic, traffic)| format!("{topic}:{}:{}", traffic.messages, traffic.bytes));
         info!(self.log, "counters";
@@ -62,9 +68,21 @@
             "unread" => counters.malformed_lines,
             "unasked" => counters.unrequested_answers,
             "lost" => counters.closed_connections,
+            "inferred_ends" => inferences.inferred_terminations,
+            "ignored_beats" => inferences.ignored_heartbeats,
             "said" => sent.collect::<Vec<_>>().join(","));
         if let Some(data_plane) = &self.data_plane {
             data_plane.log_counters();
         }
     }
 }
+
+/// Returns the text that a log line has for the reason of an inference.
+fn describe(evidence: &TerminationEvidence) -> String {
+    match evidence {
+        TerminationEvidence::Heartbeat(successor) => format!("heartbeat of {successor} at its address"),
+        TerminationEvidence::Update(successor) => format!("update about {successor} at its address"),
+        TerminationEvidence::AddressInUse => "timed out, and another server is at its address".to_owned(),
+        TerminationEvidence::TimedOut => "timed out for a day".to_owned(),
+    }
+}
--- a/crates/node/src/engine/log_event.rs
+++ b/crates/node/src/engine/log_event.rs
@@ -1,7 +1,7 @@
 //! Changes of state that are logged. Each variant produces one line in the log of the process; the operators'
 //! documentation explains these lines.
 
-use ashvane_gossip::OrphanMonitorTerm;
+use ashvane_gossip::{InferredTermination, OrphanMonitorTerm};
 use ashvane_identifiers::{DiskId, NodeName};
 
 use super::UnusableConfig;
@@ -51,6 +51,13 @@
         /// Term under which it holds the role.
         term: OrphanMonitorTerm,
     },
+    /// This process has inferred that servers have terminated which did not report it.
+    TerminationsInferred {
+        /// Number of servers since the last such line.
+        count: usize,
+        /// The first one of them.
+        first: InferredTermination,
+    },
     /// The graceful shutdown of this process has started.
     ShuttingDown,
     /// The seeds in the settings file have changed.
--- a/crates/node/src/engine/status_report.rs
+++ b/crates/node/src/engine/status_report.rs
@@ -32,6 +32,7 @@
             "disks": members.iter().map(|member| member_status(member, &live)).collect::<Vec<_>>(),
             "nodes": self.directory.nodes().map(|node| self.node_status(node)).collect::<Vec<_>>(),
             "servers": self.directory.running_servers().map(server_status).collect::<Vec<_>>(),
+            "inferences": self.inference_status(),
             "allotments": context.allotments,
         })
     }
@@ -83,6 +84,14 @@
         .collect()
     }
 
+    fn inference_status(&self) -> Value {
+        let counters = self.directory.inference_counters();
+        json!({
+            "servers ended": counters.inferred_terminations,
+            "beats ignored": counters.ignored_heartbeats,
+        })
+    }
+
     fn node_status(&self, node: &Node) -> Value {
         let state = if node.name == self.directory.own_node().name {
             "this one"
--- a/crates/node/src/engine/tick.rs
+++ b/crates/node/src/engine/tick.rs
@@ -85,6 +85,15 @@
         let authority = self.orphan_monitor.authority(has_contact, &self.directory);
         let updates = self.directory.tick(&authority, now);
         self.disseminate(updates, None, now);
+        self.report_inferred_terminations();
+    }
+
+    fn report_inferred_terminations(&mut self) {
+        let inferred = self.directory.take_inferred_terminations();
+        let count = inferred.len();
+        if let Some(first) = inferred.into_iter().next() {
+            self.log(LogEvent::TerminationsInferred { count, first });
+        }
     }
 
     fn count_quorum_wait(&mut self) {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -19,7 +19,7 @@
     ashvane-node check FILE  validate a settings file or a configuration (.json) and print all faults
     ashvane-node get         print the configuration that a quorum has chosen
     ashvane-node put FILE    validate a configuration and send it
-    ashvane-node show [all|process|configuration|duties|disks|nodes|servers|allotments]
+    ashvane-node show [all|process|configuration|duties|disks|nodes|servers|inferences|allotments]
     ashvane-node version
 
 The settings file is given by --settings or ASHVANE_CONFIG. get, put and show call the control address given
