--- a/crates/gossip/src/directory/anti_entropy.rs
+++ b/crates/gossip/src/directory/anti_entropy.rs
@@ -91,7 +91,7 @@
     pub fn refutation_of(&self, update: &Update) -> Option<Update> {
         match update {
             Update::Node(node) => self.node_refutation(node),
-            Update::Server(server) if !server.is_terminated() => self.server_refutation(&server.id),
+            Update::Server(server) if !server.is_terminated() => self.server_refutation(server),
             _ => None,
         }
     }
@@ -105,10 +105,16 @@
         Some(Update::Node(Node { generation, incarnation, is_down, ..node.clone() }))
     }
 
-    fn server_refutation(&self, id: &ServerId) -> Option<Update> {
-        match self.servers.get(id) {
-            Some(known) => known.is_terminated().then(|| Update::Server(known.clone())),
-            None => self.servers.has_tombstone(id).then(|| Update::Server(self.terminated_server(id))),
+    fn server_refutation(&self, server: &Server) -> Option<Update> {
+        match self.servers.get(&server.id) {
+            Some(known) => {
+                let is_refuted = known.is_terminated() && known.rank() > server.rank();
+                is_refuted.then(|| Update::Server(known.clone()))
+            }
+            None => {
+                let has_tombstone = self.servers.has_tombstone(&server.id);
+                has_tombstone.then(|| Update::Server(self.terminated_server(&server.id)))
+            }
         }
     }
 
--- a/crates/gossip/src/directory/heartbeat_monitor.rs
+++ b/crates/gossip/src/directory/heartbeat_monitor.rs
@@ -27,9 +27,9 @@
         HeartbeatMonitor { interval, last_heartbeats: BTreeMap::new() }
     }
 
-    /// Whether this process has received a heartbeat of a server.
-    pub(super) fn is_monitored(&self, id: &ServerId) -> bool {
-        self.last_heartbeats.contains_key(id)
+    /// Returns the sequence number of the last heartbeat that this process received from a server.
+    pub(super) fn last_sequence(&self, id: &ServerId) -> Option<u64> {
+        self.last_heartbeats.get(id).map(|last| last.sequence)
     }
 
     /// Whether this heartbeat or a later one has already been received.
--- a/crates/gossip/src/directory/server_table.rs
+++ b/crates/gossip/src/directory/server_table.rs
@@ -1,6 +1,6 @@
 //! Table of the directory entries of servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use ashvane_identifiers::{Address, ServerId};
@@ -11,16 +11,23 @@
 use crate::{Heartbeat, OrphanMonitorTerm, Server, ServerRank, ServerState, TerminationEvidence};
 
 /// Time after which a server that has timed out is considered terminated. It exceeds the duration of any
-/// partition. A server that was partitioned for longer and still runs is accepted again after
-/// [`DEPARTED_ENTRY_RETENTION`], since it gets no tombstone.
+/// partition. A server that was partitioned for longer and still runs returns with its next heartbeat.
 const TERMINATION_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
 
-/// The entries of servers, the server at each address, and the times at which servers timed out or
+/// A server at its address. Ordered by address, so that the servers of one address stand side by side.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct ServerAtAddress {
+    address: Address,
+    id: ServerId,
+}
+
+/// The entries of servers, the running servers at each address, and the times at which servers timed out or
 /// terminated.
 #[derive(Default)]
 pub(super) struct ServerTable {
     servers: BTreeMap<ServerId, Server>,
-    by_address: BTreeMap<Address, ServerId>,
+    /// Servers that have not terminated. An address has several while it is not known which one is newer.
+    by_address: BTreeSet<ServerAtAddress>,
     terminated_since: BTreeMap<ServerId, Duration>,
     timed_out_since: BTreeMap<ServerId, Duration>,
     tombstones: Tombstones<ServerId, ServerState>,
@@ -35,9 +42,11 @@
         self.servers.get(id)
     }
 
-    /// Returns the current server at an address.
-    pub(super) fn server_at(&self, address: &Address) -> Option<&Server> {
-        self.servers.get(self.by_address.get(address)?)
+    /// Returns the servers at an address that have not terminated.
+    pub(super) fn servers_at<'a>(&'a self, address: &'a Address) -> impl Iterator<Item = &'a Server> {
+        let first = ServerAtAddress { address: address.clone(), id: ServerId::default() };
+        let at_address = self.by_address.range(first..).take_while(move |entry| entry.address == *address);
+        at_address.filter_map(|entry| self.servers.get(&entry.id))
     }
 
     pub(super) fn tombstone_count(&self) -> usize {
@@ -85,18 +94,21 @@
     }
 
     fn update_address(&mut self, server: &Server) {
+        if let Some(previous) = self.servers.get(&server.id) {
+            let address = previous.address.clone();
+            self.by_address.remove(&ServerAtAddress { address, id: server.id.clone() });
+        }
         if !server.is_terminated() {
-            if !server.has_timed_out() || !self.has_available_server_at(&server.address) {
-                self.by_address.insert(server.address.clone(), server.id.clone());
-            }
-        } else if self.by_address.get(&server.address) == Some(&server.id) {
-            self.by_address.remove(&server.address);
+            let (address, id) = (server.address.clone(), server.id.clone());
+            self.by_address.insert(ServerAtAddress { address, id });
         }
     }
 
     fn update_timestamps(&mut self, server: &Server, now: Duration) {
         if server.is_terminated() {
             self.terminated_since.entry(server.id.clone()).or_insert(now);
+        } else {
+            self.terminated_since.remove(&server.id);
         }
         if server.has_timed_out() && !server.is_terminated() {
             self.timed_out_since.entry(server.id.clone()).or_insert(now);
@@ -106,7 +118,7 @@
     }
 
     fn has_available_server_at(&self, address: &Address) -> bool {
-        self.server_at(address).is_some_and(Server::is_available)
+        self.servers_at(address).any(Server::is_available)
     }
 
     /// Returns the timed-out servers that are confirmed to have terminated: either another server is
@@ -125,15 +137,15 @@
     }
 
     /// Replaces the entries of terminated servers by tombstones after the retention time, and removes expired
-    /// tombstones. A server whose termination was only inferred from its time-out gets no tombstone: it may
-    /// still run, and its next heartbeat restores it.
+    /// tombstones. A server whose termination was only inferred gets no tombstone: it may still run, and its
+    /// next heartbeat restores it.
     pub(super) fn expire(&mut self, now: Duration) {
         let is_expired = |(_, since): &(&ServerId, &Duration)| **since + DEPARTED_ENTRY_RETENTION <= now;
         let expired: Vec<ServerId> =
             self.terminated_since.iter().filter(is_expired).map(|(id, _)| id.clone()).collect();
         for id in expired {
             self.terminated_since.remove(&id);
-            if self.servers.remove(&id).is_some_and(|server| !server.has_timed_out()) {
+            if self.servers.remove(&id).is_some_and(|server| server.has_reported_termination()) {
                 self.tombstones.insert(id, ServerState::Terminated, now);
             }
         }
--- a/crates/node/examples/slopes/entries.rs
+++ b/crates/node/examples/slopes/entries.rs
@@ -37,6 +37,7 @@
         zone: format!("zone-{}", n % 16).into(),
         capacity: 3,
         state: ServerState::Ready,
+        inferred_from: None,
         heartbeat_sequence: n as u64 * 7919 % 86_400,
         liveness: Liveness::Alive,
         monitor: format!("control-{}", n % 38).into(),
--- a/crates/node/src/links/codec/tests.rs
+++ b/crates/node/src/links/codec/tests.rs
@@ -6,6 +6,7 @@
 #[test]
 fn long_messages_are_compressed_and_decoded_unchanged() {
     let rank = |heartbeat_sequence| ServerRank {
+        inferred_from: None,
         state: ServerState::Ready,
         heartbeat_sequence,
         liveness: Liveness::Alive,
--- a/crates/node/tests/engine/roles.rs
+++ b/crates/node/tests/engine/roles.rs
@@ -125,6 +125,7 @@
         zone: "z".into(),
         capacity: 1,
         state: ServerState::Draining,
+        inferred_from: None,
         heartbeat_sequence: 1,
         liveness: Liveness::Alive,
         monitor: "a".into(),
--- a/crates/node/tests/golden/messages.rs
+++ b/crates/node/tests/golden/messages.rs
@@ -53,12 +53,18 @@
         zone: "north".to_owned().into(),
         capacity: 4,
         state,
+        inferred_from: None,
         heartbeat_sequence: 19,
         liveness,
         monitor: "control-1".to_owned().into(),
     }
 }
 
+fn inferred_termination() -> Server {
+    let inferred_from = Some(ServerState::Draining);
+    Server { inferred_from, ..server(ServerState::Terminated, Liveness::TimedOut) }
+}
+
 fn membership() -> Membership {
     let member = |disk: &str, address: &str| Member { disk: disk.into(), address: address.to_owned().into() };
     Membership::new(4, vec![member("d-b", "10.1.0.2:7080"), member("d-a", "10.1.0.1:7080")])
@@ -104,7 +110,8 @@
 }
 
 fn summary(orphan_monitor_term: OrphanMonitorTerm) -> Message {
-    let server_rank = |state, liveness| ServerRank { state, heartbeat_sequence: 8, liveness };
+    let server_rank =
+        |state, liveness| ServerRank { state, inferred_from: None, heartbeat_sequence: 8, liveness };
     let servers = [
         ("i-1", server_rank(ServerState::Ready, Liveness::Alive)),
         ("i-2", server_rank(ServerState::Draining, Liveness::TimedOut)),
@@ -146,6 +153,7 @@
                 vec![Update::Server(server(ServerState::Terminated, Liveness::DeclaredTimedOut(term())))],
             ),
         ),
+        ("update-server-inferred", update(0, vec![Update::Server(inferred_termination())])),
         ("update-membership", update(0, vec![Update::Membership(membership())])),
         ("update-hearing", update(5, vec![Update::OrphanMonitor(term())])),
         ("got-taken", Message::UpdateApplied { number: 3, is_applied: true, epoch: 4 }),
