--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -61,6 +61,16 @@
     pub min_coverage: f64,
 }
 
+impl Route {
+    /// Returns the smallest number of answered shards, out of all shards of a query, whose share is not below
+    /// the minimal coverage. It is compared as a client does that divides the two numbers.
+    #[must_use]
+    pub fn required_shards(&self, shard_count: usize) -> usize {
+        let is_enough = |answered: &usize| *answered as f64 / shard_count as f64 >= self.min_coverage;
+        (0..shard_count).find(is_enough).unwrap_or(shard_count)
+    }
+}
+
 /// Properties of the servers of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -26,6 +26,9 @@
 /// Utility of an answer that misses the latency target, as a share of the full utility. The configuration has
 /// no key for it.
 const LATE_UTILITY: f64 = 0.5;
+/// Rounding error of sums of shard weights. All shards of a query have the same weight, which is far larger for
+/// any number of shards that a configuration can name.
+const WEIGHT_TOLERANCE: f64 = 1e-9;
 /// Shortest time between two reviews of a query. The gatherer ends a query two of these before its deadline,
 /// which leaves time for the response to reach the client.
 const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(5);
@@ -198,6 +201,7 @@
             gatherer_count: 1,
             zone,
             tick: MIN_REVIEW_INTERVAL,
+            weight_tolerance: WEIGHT_TOLERANCE,
             verticals: Vec::new(),
             tenant_rates: Vec::new(),
             cell_count: u32::MAX,
@@ -496,7 +500,11 @@
         self.verticals.borrow_mut().insert(key, index);
         let settings = VerticalSettings {
             required_weight: 1.0,
-            min_weight: if services.len() > 1 { route.min_coverage } else { 1.0 },
+            min_weight: if services.len() > 1 {
+                route.required_shards(services.len()) as f64 / services.len() as f64
+            } else {
+                1.0
+            },
             follow_up_parts: 0,
             slo,
             late_utility: LATE_UTILITY,
--- a/crates/node/tests/coverage.rs
+++ b/crates/node/tests/coverage.rs
@@ -28,3 +28,22 @@
         .collect();
     assert!(read_differently.is_empty(), "{read_differently:?}");
 }
+
+/// Guards against a number of shards whose share is below the minimal coverage, however little, and against
+/// one more than necessary.
+#[test]
+fn the_required_shards_are_the_fewest_whose_share_is_not_below_the_minimal_coverage() {
+    let required_shards =
+        |shard_count, min_coverage| route(shard_count, min_coverage).required_shards(shard_count);
+    for shard_count in 1..=24 {
+        for answered in 1..=shard_count {
+            let share = answered as f64 / shard_count as f64;
+            assert_eq!(required_shards(shard_count, share), answered);
+            assert_eq!(required_shards(shard_count, share.next_down()), answered);
+            if answered < shard_count {
+                assert_eq!(required_shards(shard_count, share.next_up()), answered + 1);
+                assert_eq!(required_shards(shard_count, share + 0.000_01), answered + 1);
+            }
+        }
+    }
+}
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -414,6 +414,30 @@
     });
 }
 
+/// Guards against a tolerance for rounded weights that makes two of three shards enough for a `min-coverage`
+/// slightly above two thirds. The share of the shards is compared exactly.
+#[test]
+fn a_gathered_response_never_has_a_smaller_share_than_the_minimal_coverage() {
+    run_test(async {
+        let cases = [
+            (0.6666, 200),
+            (2.0 / 3.0, 200),
+            ((2.0_f64 / 3.0).next_up(), 502),
+            (0.6667, 502),
+            (0.66671, 502),
+            (0.66672, 502),
+            (0.667, 502),
+        ];
+        let mut statuses = Vec::new();
+        for (n, (min_coverage, _)) in cases.into_iter().enumerate() {
+            let third: common::Script = Box::new(|r| (build_response(r, "500 Failed", "", b"failed"), false));
+            let (system, _servers) = three_shards(&format!("coverage-{n}"), third, min_coverage).await;
+            statuses.push((min_coverage, system.get("/r/x", "1").await.status()));
+        }
+        assert_eq!(statuses, cases);
+    });
+}
+
 #[test]
 fn invalid_control_calls_report_their_faults_and_change_nothing() {
     run_test(async {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,10 @@
 use ashvane::{Idempotency, RetryBudgetSettings, Settings, VerticalSettings};
 use serde_json::Value;
 
+/// Largest shortfall of sums of part weights. Clients round the weights; the rules of both wires accept sums
+/// that fall 0.0001 short.
+const WEIGHT_TOLERANCE: f64 = 5e-5;
+
 /// JSON value in the settings, and its path for error messages.
 struct SettingsValue<'a>(&'a Value, String);
 
@@ -110,6 +114,7 @@
         gatherer_count: root.required("balancers")?.count()?,
         zone: root.optional("zone").map(|z| z.count()).transpose()?,
         tick: root.required("quantum_us")?.micros()?,
+        weight_tolerance: WEIGHT_TOLERANCE,
         verticals: verticals.collect::<Result<_, _>>()?,
         tenant_rates: tenants
             .iter()
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -85,8 +85,6 @@
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Regular interval between requests for the server list, as a share of the longest allowed.
 const LIST_REQUEST_RATIO: f64 = 0.4;
-/// Tolerance for rounding in sums of weights; the checks of the rules allow twice this.
-const WEIGHT_TOLERANCE: f64 = 5e-5;
 /// Timer token of the server list; the other tokens are query numbers, which are smaller.
 const LIST_TIMER_TOKEN: u64 = 1 << 60;
 
@@ -189,6 +187,8 @@
     rng: fastrand::Rng,
     zone: Option<u32>,
     verticals: Vec<Vertical>,
+    /// Largest amount by which rounding makes sums of part weights fall short.
+    weight_tolerance: f64,
     /// Quota of each tenant in queries per second, and its rate of queries.
     tenants: Vec<(f64, Rate)>,
     /// This gatherer's even share of the load: by the settings, and by the live gatherers if known.
@@ -295,6 +295,7 @@
             rng: fastrand::Rng::with_seed(settings.seed),
             zone: settings.zone,
             verticals: verticals.collect(),
+            weight_tolerance: settings.weight_tolerance,
             tenants: tenants.collect(),
             configured_share: 1.0 / gatherer_count,
             gatherer_share: 1.0 / gatherer_count,
@@ -468,7 +469,7 @@
         }
         let min_weight = if v.min_weight < v.need { v.min_weight } else { q.need };
         let weight = |parts: &dyn Fn(&&Part) -> bool| -> f64 {
-            q.parts.iter().filter(parts).map(|p| p.weight).sum::<f64>() + WEIGHT_TOLERANCE
+            q.parts.iter().filter(parts).map(|p| p.weight).sum::<f64>() + self.weight_tolerance
         };
         let got = weight(&|p| p.done);
         if got >= q.need {
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -29,7 +29,7 @@
         // If partial answers have utility, one bad shard must not get the query rejected.
         let need = if v.squared { v.min_weight } else { v.need };
         for (w, _, latency, _) in self.sendable_parts(q) {
-            if weight < need - WEIGHT_TOLERANCE {
+            if weight < need - self.weight_tolerance {
                 weight += w;
                 latencies.push(latency);
             }
@@ -40,7 +40,7 @@
         let limit = (v.client_wait_s * ratio).min(self.expiry(q).saturating_sub(self.now).as_secs_f64());
         // The prediction decays: else rejecting all queries would keep it from ever being corrected.
         let slowest = latencies.iter().copied().fold(predicted * (1.0 + FAN_OUT_RATIO * n.ln()), f64::max);
-        if weight < v.min_weight - WEIGHT_TOLERANCE || slowest * self.recency(v.last_answer) > limit {
+        if weight < v.min_weight - self.weight_tolerance || slowest * self.recency(v.last_answer) > limit {
             return self.end_unanswered(number);
         }
         self.review(number);
--- a/src/decide/spares.rs
+++ b/src/decide/spares.rs
@@ -72,7 +72,7 @@
     pub(super) fn send_missing_parts(&mut self, number: u64) -> bool {
         let q = &self.queries[&number];
         let pending = q.parts.iter().filter(|p| p.done || (p.active > 0 && !p.hedged)).map(|p| p.weight);
-        let mut missing = q.need - pending.sum::<f64>() - WEIGHT_TOLERANCE;
+        let mut missing = q.need - pending.sum::<f64>() - self.weight_tolerance;
         if missing <= 0.0 {
             return true;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -117,6 +117,9 @@
     pub zone: Option<u32>,
     /// Shortest time between two batches of events.
     pub tick: Duration,
+    /// Largest amount by which sums of part weights fall short because the weights are rounded. It must be
+    /// less than the weight of any part, and 0 or close to it where the weights are exact.
+    pub weight_tolerance: f64,
     /// Settings of each vertical, by its index.
     pub verticals: Vec<VerticalSettings>,
     /// Quota of each tenant in queries per second over all gatherers.
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -82,6 +82,7 @@
             max_retry_after: None,
             max_list_request_interval: None,
             retry_budget: None,
+            weight_tolerance: 5e-5,
             cold_capacity_share: 0.2,
             warm_up_time: Duration::from_secs(10),
             overload_factor: 2.0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,6 +83,7 @@
         gatherer_count: 3,
         zone: None,
         tick: ms(5),
+        weight_tolerance: 5e-5,
         verticals,
         tenant_rates: Vec::new(),
         cell_count: 6,
--- a/tests/shards.rs
+++ b/tests/shards.rs
@@ -22,6 +22,20 @@
     (harness, v)
 }
 
+/// Shards with one server each, whose weights are exact; a partial answer needs this weight.
+fn exact_shards(count: u32, min_weight: f64) -> Harness {
+    let v = VerticalSettings { late_utility: 0.5, ..vertical(1.0, min_weight, 0, Idempotency::Idempotent) };
+    let mut harness = Harness::new(Settings {
+        weight_tolerance: 1e-9,
+        cell_count: count,
+        cells_per_shard: 1,
+        allow_cancel: false,
+        ..settings(vec![v.clone()])
+    });
+    harness.gatherer.set_vertical(0, &v, 2, true);
+    harness
+}
+
 const SHARDS: [u32; 4] = [0, 1, 2, 3];
 
 /// Number of complete and partial answers.
@@ -95,6 +109,34 @@
     }
 }
 
+/// Guards against a tolerance for rounded weights that lets an answer with one shard too few pass, and against
+/// rounding errors of the sums that withhold an answer with just enough shards.
+#[test]
+fn with_exact_weights_a_query_is_answered_by_just_enough_shards_and_no_fewer() {
+    for count in 2..=40 {
+        let shards: Vec<u32> = (0..count).collect();
+        for required in 1..=count {
+            for failing in [count - required, count - required + 1] {
+                let mut harness = exact_shards(count, f64::from(required) / f64::from(count));
+                harness.start_query(1000, 0, &shards);
+                for _ in 0..400 {
+                    harness.end_calls(|_, call| {
+                        let server: u32 = call.server[1..].parse().ok()?;
+                        Some(if server < failing { Outcome::Errored } else { Outcome::Completed })
+                    });
+                    harness.advance(ms(10));
+                }
+                let expected = usize::from(failing <= count - required);
+                assert_eq!(
+                    answer_count(&harness),
+                    expected,
+                    "{failing} of {count} fail, {required} are needed"
+                );
+            }
+        }
+    }
+}
+
 /// The limit is on servers that received the part, which an unreachable server did not.
 #[test]
 fn calls_to_an_unreachable_server_do_not_use_up_the_call_limit() {
