A gathered answer needs at least one part, whatever min-coverage says

With a `min-coverage` of 0 the needed weight was 0, so that a query that no shard had answered, or could have answered since no server was known, was admitted and counted as answered. It ended with 502, which makes no promise, though it had not run.

Change: the fewest shards that are needed are at least one, for any number of shards; the data plane needs no case for one shard.

Measured, node `serving` on the code before: a_gathered_response_has_at_least_one_part FAILED, "no response with status 503 within 30s"; now it passes, as do the other tests of `serving` and `coverage`.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -63,11 +63,12 @@
 
 impl Route {
     /// Returns the smallest number of answered shards, out of all shards of a query, whose share is not below
-    /// the minimal coverage. It is compared as a client does that divides the two numbers.
+    /// the minimal coverage. It is compared as a client does that divides the two numbers. At least one shard is
+    /// needed, whatever the coverage.
     #[must_use]
     pub fn required_shards(&self, shard_count: usize) -> usize {
         let is_enough = |answered: &usize| *answered as f64 / shard_count as f64 >= self.min_coverage;
-        (0..shard_count).find(is_enough).unwrap_or(shard_count)
+        (1..shard_count).find(is_enough).unwrap_or(shard_count)
     }
 }
 
--- a/crates/node/src/data_plane.rs
+++ b/crates/node/src/data_plane.rs
@@ -500,11 +500,7 @@
         self.verticals.borrow_mut().insert(key, index);
         let settings = VerticalSettings {
             required_weight: 1.0,
-            min_weight: if services.len() > 1 {
-                route.required_shards(services.len()) as f64 / services.len() as f64
-            } else {
-                1.0
-            },
+            min_weight: route.required_shards(services.len()) as f64 / services.len() as f64,
             follow_up_parts: 0,
             slo,
             late_utility: LATE_UTILITY,
--- a/crates/node/tests/coverage.rs
+++ b/crates/node/tests/coverage.rs
@@ -36,6 +36,7 @@
     let required_shards =
         |shard_count, min_coverage| route(shard_count, min_coverage).required_shards(shard_count);
     for shard_count in 1..=24 {
+        assert_eq!(required_shards(shard_count, 0.0), 1);
         for answered in 1..=shard_count {
             let share = answered as f64 / shard_count as f64;
             assert_eq!(required_shards(shard_count, share), answered);
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -438,6 +438,18 @@
     });
 }
 
+/// Guards against a response without any part where a route has a `min-coverage` of 0.
+#[test]
+fn a_gathered_response_has_at_least_one_part() {
+    run_test(async {
+        let system = TestSystem::start("coverage-none");
+        let target = r#""fan-out":["a","b"],"top-k":3,"min-coverage":0"#;
+        system.configure(1, &route_json("r", "idempotent", target), &["a", "b"]).await;
+        let request = "GET /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\n\r\n";
+        system.wait_for_status(system.front, request, 503).await;
+    });
+}
+
 #[test]
 fn invalid_control_calls_report_their_faults_and_change_nothing() {
     run_test(async {
