--- a/crates/gossip/src/directory/server_table.rs
+++ b/crates/gossip/src/directory/server_table.rs
@@ -94,13 +94,17 @@
     }
 
     fn update_address(&mut self, server: &Server) {
-        if let Some(previous) = self.servers.get(&server.id) {
-            let address = previous.address.clone();
-            self.by_address.remove(&ServerAtAddress { address, id: server.id.clone() });
+        let running_at = |server: &Server| (!server.is_terminated()).then(|| server.address.clone());
+        let (before, after) = (self.servers.get(&server.id).and_then(running_at), running_at(server));
+        if before == after {
+            return;
         }
-        if !server.is_terminated() {
-            let (address, id) = (server.address.clone(), server.id.clone());
-            self.by_address.insert(ServerAtAddress { address, id });
+        let entry = |address| ServerAtAddress { address, id: server.id.clone() };
+        if let Some(address) = before {
+            self.by_address.remove(&entry(address));
+        }
+        if let Some(address) = after {
+            self.by_address.insert(entry(address));
         }
     }
 
