What disks hold of departed servers is logged, and why a gateway uses a timed-out one

Neither the log, nor the counters, nor /api/state could tell apart whether a disk held the end when it was acknowledged, whether a node restored the server or learned of it from another one, and whether a gateway used it as ready, or as timed out with most of its service.

Change: lines for a departure (draining or DELETE) that is acknowledged, with the disks that confirmed it; for one that is confirmed before it is on the confirming disk; for the servers restored at a start; and for timed-out servers that a gateway uses because most of their service has timed out (counted as silent_used). Writes and syncs of a disk are counted (line of counters, `disk` of /api/state).

--- a/crates/node/src/agent/log.rs
+++ b/crates/node/src/agent/log.rs
@@ -1,6 +1,6 @@
 //! Log lines of a process about itself and the system. The operators' documentation explains each line.
 
-use ashvane_gossip::{InferredTermination, TerminationEvidence};
+use ashvane_gossip::{InferredTermination, ServerState, TerminationEvidence};
 use ashvane_identifiers::DiskId;
 use slog::{info, warn};
 
@@ -31,8 +31,7 @@
                 info!(log, "process has had no link for 3 s; marked as down"; "node" => name.as_str())
             }
             LogEvent::MembershipChanging { epoch, disks } => {
-                let disks: Vec<&str> = disks.iter().map(DiskId::as_str).collect();
-                info!(log, "membership change started"; "epoch" => epoch, "disks" => disks.join(" "));
+                info!(log, "membership change started"; "epoch" => epoch, "disks" => join_disks(disks));
             }
             LogEvent::MembershipChanged { epoch } => {
                 info!(log, "membership change completed"; "epoch" => epoch);
@@ -44,6 +43,18 @@
                 info!(log, "servers inferred to have terminated"; "count" => count,
                     "first" => server.as_str(), "because" => describe(evidence));
             }
+            LogEvent::ServersRestored { count, draining, first } => {
+                info!(log, "servers restored from the disk"; "count" => count, "draining" => draining,
+                    "first" => first.as_str());
+            }
+            LogEvent::DepartureConfirmed { server, state } => {
+                info!(log, "departure of a server confirmed before it is on the disk";
+                    "server" => server.as_str(), "state" => state_name(*state));
+            }
+            LogEvent::DepartureAcknowledged { server, state, disks } => {
+                info!(log, "departure of a server acknowledged"; "server" => server.as_str(),
+                    "state" => state_name(*state), "disks" => join_disks(disks));
+            }
             LogEvent::ShuttingDown => info!(log, "graceful shutdown started"),
             LogEvent::SeedsChanged { seeds } => {
                 info!(log, "seeds changed"; "seeds" => seeds.join(" "));
@@ -68,6 +79,8 @@
             "unread" => counters.malformed_lines,
             "unasked" => counters.unrequested_answers,
             "lost" => counters.closed_connections,
+            "disk_writes" => self.disk.as_ref().map_or(0, |disk| disk.counters().writes),
+            "syncs" => self.disk.as_ref().map_or(0, |disk| disk.counters().syncs),
             "inferred_ends" => inferences.inferred_terminations,
             "ignored_beats" => inferences.ignored_heartbeats,
             "said" => sent.collect::<Vec<_>>().join(","));
@@ -77,6 +90,19 @@
     }
 }
 
+fn join_disks(disks: &[DiskId]) -> String {
+    disks.iter().map(DiskId::as_str).collect::<Vec<_>>().join(" ")
+}
+
+/// Returns the name of a state in the servers' calls.
+fn state_name(state: ServerState) -> &'static str {
+    match state {
+        ServerState::Ready => "ready",
+        ServerState::Draining => "draining",
+        ServerState::Terminated => "gone",
+    }
+}
+
 /// Returns the text that a log line has for the reason of an inference.
 fn describe(evidence: &TerminationEvidence) -> String {
     match evidence {
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -200,7 +200,8 @@
             Some(data_plane) => data_plane.budget_usage(),
             None => Value::Array(Vec::new()),
         };
-        let context = StatusContext { is_ready: self.is_ready(), allotments };
+        let disk = self.disk.as_ref().map(Disk::counters);
+        let context = StatusContext { is_ready: self.is_ready(), allotments, disk };
         self.engine.borrow().status(context, self.now())
     }
 }
--- a/crates/node/src/data_plane/counters.rs
+++ b/crates/node/src/data_plane/counters.rs
@@ -20,6 +20,8 @@
     pub(super) partial: Cell<u64>,
     pub(super) rejected: Cell<u64>,
     pub(super) aborted: Cell<u64>,
+    /// Servers that were used although they have timed out, because most of their service has.
+    pub(super) timed_out_servers: Cell<u64>,
     /// Failed calls by variant of [`CallError`].
     pub(super) failed_calls: RefCell<BTreeMap<String, u64>>,
 }
@@ -61,7 +63,7 @@
             "again" => counters.retries.get(), "whole" => counters.complete.get(),
             "partial" => counters.partial.get(), "rejected" => counters.rejected.get(),
             "aborted" => counters.aborted.get(), "failed" => failed.join(" "),
-            "held" => self.queries.borrow().len(), "parts" => self.parts.borrow().len(),
+            "silent_used" => counters.timed_out_servers.get(), "held" => self.queries.borrow().len(), "parts" => self.parts.borrow().len(),
             "open" => self.pool.open_count(), "connects" => pool.connects.get(),
             "refused" => pool.failed_connects.get(), "reused" => pool.reused.get(),
             "foreign" => pool.mismatched_responses.get());
--- a/crates/node/src/data_plane/servers.rs
+++ b/crates/node/src/data_plane/servers.rs
@@ -6,6 +6,7 @@
 use ashvane::Health;
 use ashvane_gossip::{Directory, Server, ServerState, Update};
 use ashvane_quota::connections_per_gateway;
+use slog::info;
 
 use super::DataPlane;
 
@@ -80,6 +81,7 @@
                 changed.push((*server, health));
             }
         }
+        self.report_timed_out_servers(&changed);
         for (server, health) in &changed {
             match health {
                 Health::Ready => self.pool.add_server(
@@ -104,6 +106,19 @@
         });
     }
 
+    /// Logs and counts the servers that are used from now on although they have timed out.
+    fn report_timed_out_servers(&self, changed: &[(&Server, Health)]) {
+        let is_reported =
+            |(server, health): &&(&Server, Health)| *health == Health::Ready && server.has_timed_out();
+        let mut used = changed.iter().filter(is_reported);
+        let Some((first, _)) = used.next() else { return };
+        let count = 1 + used.count();
+        let counter = &self.counters.timed_out_servers;
+        counter.set(counter.get() + count as u64);
+        info!(self.log, "timed-out servers used, because most of their service has timed out";
+            "count" => count, "first" => first.id.as_str(), "service" => first.service.as_str());
+    }
+
     /// Returns how many connections this gateway may have open to each server of a service.
     pub(super) fn connection_limit(&self, service: &str) -> usize {
         let max_connections =
--- a/crates/node/src/disk/mod.rs
+++ b/crates/node/src/disk/mod.rs
@@ -4,6 +4,7 @@
 //! The complete state is written with a sequence number to two stores in turn. A power failure can only
 //! corrupt the store that is being written; the other one was synced before and is intact.
 
+mod counters;
 mod medium;
 mod store;
 mod stored_state;
@@ -20,11 +21,13 @@
 use derive_more::{Display, Error, From};
 use tokio::sync::oneshot;
 
+pub use counters::DiskCounters;
 pub use medium::{FileSystem, Medium};
 pub use store::StoreError;
 pub use stored_state::{RecoveredState, StoredState, UnreadableStore};
 pub use write_queue::{DiskQueue, PendingWrite};
 
+use counters::{CountingMedium, SharedCounters};
 use store::Store;
 use write_queue::SharedQueue;
 
@@ -49,14 +52,19 @@
 #[derive(Clone)]
 pub struct Disk {
     queue: Arc<SharedQueue>,
+    counters: Arc<SharedCounters>,
 }
 
 impl Disk {
     /// Creates a disk without a thread. The owner of the returned queue performs the writes.
     #[must_use]
     pub fn new() -> (Disk, DiskQueue) {
+        Disk::with_counters(Arc::default())
+    }
+
+    fn with_counters(counters: Arc<SharedCounters>) -> (Disk, DiskQueue) {
         let queue = Arc::new(SharedQueue::default());
-        (Disk { queue: queue.clone() }, DiskQueue::new(queue))
+        (Disk { queue: queue.clone(), counters }, DiskQueue::new(queue))
     }
 
     /// Opens the disk in a folder, reads the stored state and starts the writer thread. Blocks until the
@@ -78,10 +86,12 @@
         let dir = PathBuf::from(dir);
         std::fs::create_dir_all(&dir)?;
         let lock = acquire_lock(&dir)?;
+        let counters = Arc::<SharedCounters>::default();
+        let medium: Arc<dyn Medium> = Arc::new(CountingMedium::new(medium, counters.clone()));
         let stores = STORE_DIRS.map(|name| Store::new(dir.join(name), medium.clone()));
         let mut writer = writer::DiskWriter::new(stores, medium);
         let recovered = writer.recover();
-        let (disk, queue) = Disk::new();
+        let (disk, queue) = Disk::with_counters(counters);
         let write = move || {
             writer.run(&queue);
             drop(lock);
@@ -105,6 +115,12 @@
         self.queue.update(|pending| pending.add_servers(servers));
     }
 
+    /// Returns the number of operations since the disk was opened.
+    #[must_use]
+    pub fn counters(&self) -> DiskCounters {
+        self.counters.snapshot()
+    }
+
     /// Stops the thread once all queued state is synced.
     pub fn close(&self) {
         self.queue.close();
--- a/crates/node/src/engine/log_event.rs
+++ b/crates/node/src/engine/log_event.rs
@@ -1,8 +1,8 @@
 //! Changes of state that are logged. Each variant produces one line in the log of the process; the operators'
 //! documentation explains these lines.
 
-use ashvane_gossip::{InferredTermination, OrphanMonitorTerm};
-use ashvane_identifiers::{DiskId, NodeName};
+use ashvane_gossip::{InferredTermination, OrphanMonitorTerm, ServerState};
+use ashvane_identifiers::{DiskId, NodeName, ServerId};
 
 use super::UnusableConfig;
 
@@ -58,6 +58,33 @@
         /// The first one of them.
         first: InferredTermination,
     },
+    /// This process has added the servers that were stored on its disk before the start.
+    ServersRestored {
+        /// Number of servers.
+        count: usize,
+        /// Number of them that were draining.
+        draining: usize,
+        /// The first one of them.
+        first: ServerId,
+    },
+    /// This process has confirmed to another control node that it knows a server's report that it is draining
+    /// or has terminated, and has not saved it.
+    DepartureConfirmed {
+        /// The server.
+        server: ServerId,
+        /// State that the server reported.
+        state: ServerState,
+    },
+    /// A quorum knows a server's report that it is draining or has terminated. The server's call, which this
+    /// process received, is acknowledged.
+    DepartureAcknowledged {
+        /// The server.
+        server: ServerId,
+        /// State that the server reported.
+        state: ServerState,
+        /// Disks of the members that know it.
+        disks: Vec<DiskId>,
+    },
     /// The graceful shutdown of this process has started.
     ShuttingDown,
     /// The seeds in the settings file have changed.
--- a/crates/node/src/engine/quorum_acknowledgement.rs
+++ b/crates/node/src/engine/quorum_acknowledgement.rs
@@ -64,6 +64,17 @@
         &self.update
     }
 
+    /// Whether a quorum has applied the update.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done.is_none()
+    }
+
+    /// Returns the disks of the processes that have applied the update, as far as they have responded.
+    pub fn confirmed_by(&self) -> impl Iterator<Item = &DiskId> {
+        self.applied_by.iter()
+    }
+
     /// Returns the links over which the update must be sent now, and records them as sent. The update is sent
     /// to members only, and once over each link.
     pub fn links_to_send_over(&mut self, linked: &[LinkedReplica]) -> Vec<LinkId> {
--- a/crates/node/src/engine/server_events.rs
+++ b/crates/node/src/engine/server_events.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use ashvane_gossip::{Heartbeat, Liveness, Server, Update};
+use ashvane_gossip::{Heartbeat, Liveness, Server, ServerState, Update};
 use ashvane_identifiers::ServerId;
 use tokio::sync::oneshot;
 
-use super::{Engine, LinkedReplica, QuorumAcknowledgement, UpdateResponse};
+use super::{Engine, LinkedReplica, LogEvent, QuorumAcknowledgement, UpdateResponse};
 use crate::links::{LinkId, Message};
 
 /// Update that waits for a quorum of the members to apply it.
@@ -36,6 +36,10 @@
     pub fn restore_servers(&mut self, servers: Vec<Server>, now: Duration) {
         let restored =
             |server| Update::Server(Server { heartbeat_sequence: 0, liveness: Liveness::TimedOut, ..server });
+        if let Some(first) = servers.first() {
+            let draining = servers.iter().filter(|server| server.state == ServerState::Draining).count();
+            self.log(LogEvent::ServersRestored { count: servers.len(), draining, first: first.id.clone() });
+        }
         self.apply_updates(servers.into_iter().map(restored).collect(), None, now);
     }
 
@@ -56,7 +60,14 @@
 
     /// Removes a pending acknowledgement, completed or not.
     pub fn acknowledgement_ended(&mut self, number: u64) {
-        self.acknowledgements.remove(&number);
+        let Some(ended) = self.acknowledgements.remove(&number).filter(QuorumAcknowledgement::is_done) else {
+            return;
+        };
+        if let Update::Server(server) = ended.update() {
+            let (server, state) = (server.id.clone(), server.reported_state());
+            let disks = ended.confirmed_by().cloned().collect();
+            self.log(LogEvent::DepartureAcknowledged { server, state, disks });
+        }
     }
 
     /// Sends the waiting updates to linked members that have not received them yet.
--- a/crates/node/src/engine/status_report.rs
+++ b/crates/node/src/engine/status_report.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use super::{Engine, Register, live_replicas};
+use crate::disk::DiskCounters;
 
 /// Parts of the status report that the engine does not know.
 #[derive(Clone, Debug)]
@@ -16,6 +17,8 @@
     pub is_ready: bool,
     /// Use of the data plane's shares of the budgets.
     pub allotments: Value,
+    /// Operations on the local disk; `None` at a process without a disk.
+    pub disk: Option<DiskCounters>,
 }
 
 impl Engine {
@@ -29,6 +32,7 @@
             "configuration": self.configuration_status(now),
             "duties": self.roles_status(&live),
             "said": self.traffic_status(),
+            "disk": context.disk.map(|disk| json!({"writes": disk.writes, "syncs": disk.syncs})),
             "disks": members.iter().map(|member| member_status(member, &live)).collect::<Vec<_>>(),
             "nodes": self.directory.nodes().map(|node| self.node_status(node)).collect::<Vec<_>>(),
             "servers": self.directory.running_servers().map(server_status).collect::<Vec<_>>(),
--- a/crates/node/src/engine/update_events.rs
+++ b/crates/node/src/engine/update_events.rs
@@ -4,7 +4,7 @@
 
 use ashvane_gossip::Update;
 
-use super::{Command, Engine, FlushTime, Link, QueuedUpdates, UpdateOrigin};
+use super::{Command, Engine, FlushTime, Link, LogEvent, QueuedUpdates, UpdateOrigin};
 use crate::links::{LinkId, Message};
 
 impl Engine {
@@ -18,10 +18,23 @@
         if let Some(updates) = updates_to_acknowledge {
             let is_applied = updates.iter().all(|update| self.directory.has_applied(update));
             let epoch = self.directory.membership().epoch;
+            self.log_unsaved_departures(&updates);
             self.send(vec![link], Message::UpdateApplied { number, is_applied, epoch });
         }
     }
 
+    fn log_unsaved_departures(&mut self, updates: &[Update]) {
+        if self.server_hints.is_saved(self.directory.revision()) {
+            return;
+        }
+        for update in updates {
+            if let Update::Server(server) = update {
+                let (server, state) = (server.id.clone(), server.reported_state());
+                self.log(LogEvent::DepartureConfirmed { server, state });
+            }
+        }
+    }
+
     /// Applies updates that are newer, and disseminates them. A peer that sends a terminated server or a down
     /// process as running receives a refutation over the same link.
     pub(super) fn apply_updates(&mut self, updates: Vec<Update>, from: Option<LinkId>, now: Duration) {
