A repeated DELETE is acknowledged where only the tombstone of its server is left

Callers saw: a server that sends DELETE again, ten minutes or more after the first one, is answered with 503 by each control node.

Cause: `await_server_update` waits for the entry of the server, and took a missing entry for a missing majority. After the retention time (600 s) a tombstone stands in the entry's place.

Change: what is known of a server is its entry or its tombstone (`Directory::server_or_tombstone`), and a majority is asked for that.

--- a/crates/gossip/src/directory/mod.rs
+++ b/crates/gossip/src/directory/mod.rs
@@ -107,6 +107,13 @@
         self.servers.get(id)
     }
 
+    /// Returns what is known of a server: its entry, or that it has terminated if only its tombstone is left.
+    #[must_use]
+    pub fn server_or_tombstone(&self, id: &ServerId) -> Option<Server> {
+        let tombstone = || self.servers.has_tombstone(id).then(|| self.terminated_server(id));
+        self.servers.get(id).cloned().or_else(tombstone)
+    }
+
     /// Returns the newest known membership.
     #[must_use]
     pub fn membership(&self) -> &Membership {
--- a/crates/gossip/tests/tombstones.rs
+++ b/crates/gossip/tests/tombstones.rs
@@ -274,3 +274,18 @@
     local.tick(&LivenessAuthority::Monitored, AFTER_RETENTION + HOUR * 25);
     assert_eq!(local.tombstone_count(), 0);
 }
+
+/// A repeated deregistration of a server of which only the tombstone is left is still known as ended, so that it
+/// can be acknowledged.
+#[test]
+fn a_server_with_a_tombstone_is_known_to_have_terminated() {
+    let mut local = directory("local", SECOND);
+    local.record_heartbeat(heartbeat("s", "s:1", ServerState::Ready, 1), SECOND);
+    local.deregister(&"s".into(), SECOND);
+    local.tick(&LivenessAuthority::Monitored, AFTER_RETENTION);
+    assert!(local.server(&"s".into()).is_none());
+    local.deregister(&"s".into(), AFTER_RETENTION);
+    let known = local.server_or_tombstone(&"s".into());
+    assert!(known.is_some_and(|server| server.has_reported_termination()));
+    assert!(local.server_or_tombstone(&"t".into()).is_none());
+}
--- a/crates/node/src/agent/operator_calls.rs
+++ b/crates/node/src/agent/operator_calls.rs
@@ -109,9 +109,9 @@
         self.await_server_update(id).await
     }
 
-    /// Waits until a quorum of the members has applied the known entry of a server.
+    /// Waits until a quorum of the members has applied what is known of a server.
     async fn await_server_update(self: &Rc<Self>, id: &ServerId) -> Result<(), NoQuorum> {
-        let server = self.engine.borrow().directory().server(id).cloned();
+        let server = self.engine.borrow().directory().server_or_tombstone(id);
         self.await_quorum(Update::Server(server.ok_or(NoQuorum)?)).await
     }
 
