--- a/crates/gossip/src/directory/mod.rs
+++ b/crates/gossip/src/directory/mod.rs
@@ -5,6 +5,7 @@
 //! membership and the term of the orphan monitor only increase (see [`Directory::raise_term`]).
 
 mod anti_entropy;
+mod departures;
 mod heartbeat_monitor;
 mod node_table;
 mod orphans;
@@ -50,6 +51,8 @@
     revision: u64,
     digests: EntryDigests,
     inferences: InferenceLog,
+    /// Departures since the last call of [`Directory::take_departures`].
+    new_departures: Vec<Server>,
 }
 
 impl Directory {
@@ -69,6 +72,7 @@
             revision: 0,
             digests: EntryDigests::default(),
             inferences: InferenceLog::default(),
+            new_departures: Vec::new(),
         };
         directory.insert_node(own, now);
         directory
@@ -281,6 +285,7 @@
         if server.is_terminated() {
             self.heartbeats.forget(&server.id);
         }
+        self.record_departure(&server);
         self.servers.insert(server, &self.orphan_monitor_term, &mut self.digests, now);
         self.revision += 1;
     }
--- a/crates/gossip/src/directory/server_table.rs
+++ b/crates/gossip/src/directory/server_table.rs
@@ -57,6 +57,17 @@
         self.tombstones.contains(id)
     }
 
+    /// Returns the servers that have a tombstone.
+    pub(super) fn tombstones(&self) -> impl Iterator<Item = &ServerId> {
+        self.tombstones.ids()
+    }
+
+    /// Adds the tombstone of a server that has no entry and has reported its termination.
+    pub(super) fn add_tombstone(&mut self, id: ServerId, now: Duration) {
+        debug_assert!(!self.servers.contains_key(&id), "an entry and a tombstone exclude each other");
+        self.tombstones.insert(id, ServerState::Terminated, now);
+    }
+
     /// Whether the tombstone of a server has at least the state of this heartbeat.
     pub(super) fn has_tombstone_covering(&self, heartbeat: &Heartbeat) -> bool {
         self.tombstones.covers(&heartbeat.id, &heartbeat.state)
--- a/crates/gossip/src/server.rs
+++ b/crates/gossip/src/server.rs
@@ -89,6 +89,23 @@
         self.inferred_from.unwrap_or(self.state)
     }
 
+    /// Whether the server itself has reported that it is draining or has terminated.
+    #[must_use]
+    pub fn has_reported_departure(&self) -> bool {
+        self.reported_state() > ServerState::Ready
+    }
+
+    /// Returns the entry of this server without what other processes have inferred.
+    #[must_use]
+    pub(crate) fn as_reported(&self) -> Server {
+        Server {
+            state: self.reported_state(),
+            inferred_from: None,
+            liveness: Liveness::Alive,
+            ..self.clone()
+        }
+    }
+
     /// Returns the entry of this server, which has not terminated, after its termination was inferred.
     #[must_use]
     pub(crate) fn with_inferred_termination(&self) -> Server {
--- a/crates/gossip/src/tombstones.rs
+++ b/crates/gossip/src/tombstones.rs
@@ -50,6 +50,11 @@
         self.ranks.contains_key(id)
     }
 
+    /// Returns the identifiers of the removed entries.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &Id> {
+        self.ranks.keys()
+    }
+
     /// Returns the last known rank of a removed entry.
     pub(crate) fn rank_of(&self, id: &Id) -> Option<&Rank> {
         self.ranks.get(id)
--- a/crates/gossip/tests/tombstones.rs
+++ b/crates/gossip/tests/tombstones.rs
@@ -275,6 +275,66 @@
     assert_eq!(local.tombstone_count(), 0);
 }
 
+/// Returns the departures that are stored when a server drains and another one deregisters.
+fn stored_departures() -> Vec<Server> {
+    let mut directory = directory("before", SECOND);
+    for id in ["draining", "terminated", "ready"] {
+        let address = format!("{id}:1");
+        directory.record_heartbeat(heartbeat(id, &address, ServerState::Ready, 1), SECOND);
+    }
+    assert_eq!(directory.take_departures(), []);
+    directory.record_heartbeat(heartbeat("draining", "draining:1", ServerState::Draining, 2), SECOND);
+    directory.deregister(&"terminated".into(), SECOND);
+    let departures = directory.take_departures();
+    let states: Vec<_> = departures.iter().map(|server| (server.id.as_str(), server.state)).collect();
+    assert_eq!(states, [("draining", ServerState::Draining), ("terminated", ServerState::Terminated)]);
+    directory.record_heartbeat(heartbeat("draining", "draining:1", ServerState::Draining, 3), SECOND);
+    assert_eq!(directory.take_departures(), [], "a repeated report is no new departure");
+    assert_eq!(directory.departures().len(), 2);
+    departures
+}
+
+/// Guards against servers that departed before a restart and are brought back after it: by a list from another
+/// disk, by a late heartbeat or by an update, at any time until the tombstone expires.
+#[test]
+fn departures_restored_after_a_restart_outlast_what_contradicts_them() {
+    for age in [SECOND, AFTER_RETENTION, 23 * HOUR] {
+        let mut local = directory("after", SECOND);
+        local.restore_departures(stored_departures(), SECOND);
+        assert_eq!(local.take_departures(), [], "what was restored is stored already");
+        assert_eq!(local.departures().len(), 2, "and belongs to the next rewrite of the log");
+        let now = SECOND + age;
+        for id in ["draining", "terminated"] {
+            let address = format!("{id}:1");
+            let late = heartbeat(id, &address, ServerState::Ready, 9);
+            let mut other = directory("other", now);
+            other.record_heartbeat(late.clone(), now);
+            synchronize(&mut local, &mut other, now);
+            local.record_heartbeat(late, now);
+            for process in [&local, &other] {
+                let server = process.server(&id.into());
+                let is_ready = server.is_some_and(|server| server.state == ServerState::Ready);
+                assert!(!is_ready, "{id} is back at {} after {age:?}", process.own_node().name);
+            }
+        }
+        let known = local.server_or_tombstone(&"terminated".into());
+        assert!(known.is_some_and(|server| server.has_reported_termination()));
+    }
+}
+
+/// The records of a log are restored in any order: the furthest report of each server counts.
+#[test]
+fn the_last_report_of_each_server_is_restored() {
+    let mut terminated = stored_departures();
+    let draining = terminated.remove(0);
+    let ended = Server { state: ServerState::Terminated, ..draining.clone() };
+    for records in [[draining.clone(), ended.clone()], [ended, draining]] {
+        let mut local = directory("after", SECOND);
+        local.restore_departures(records.to_vec(), SECOND);
+        assert_eq!((local.servers().count(), local.tombstone_count()), (0, 1));
+    }
+}
+
 /// A repeated deregistration of a server of which only the tombstone is left is still known as ended, so that it
 /// can be acknowledged.
 #[test]
--- a/crates/node/src/agent/commands.rs
+++ b/crates/node/src/agent/commands.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use super::Agent;
+use crate::disk::DepartureWrite;
 use crate::engine::{
     AfterSync, ClaimResult, Command, Engine, SyncedResponse, UnsyncedResponse, VerificationRead,
 };
@@ -34,6 +35,7 @@
                     disk.save_servers(servers);
                 }
             }
+            Command::SaveDepartures { number, write } => self.save_departures(number, write),
             Command::PollOperationsAfter(delay) => self.spawn(async move |agent| {
                 sleep(delay).await;
                 agent.handle(Engine::poll_operations);
@@ -124,6 +126,18 @@
         });
     }
 
+    /// Queues departures of servers for the disk, and reports to the engine once they are synced.
+    fn save_departures(self: &Rc<Self>, number: u64, write: DepartureWrite) {
+        let Some(disk) = &self.disk else { return };
+        let synced = disk.save_departures(write);
+        self.spawn(async move |agent| {
+            // The sender is dropped without a notification if the disk was closed first.
+            if synced.await.is_ok() {
+                agent.handle(|engine, _| engine.departures_synced(number));
+            }
+        });
+    }
+
     /// Reports the outcome of a membership change to the engine once it is known.
     fn await_membership_change(self: &Rc<Self>, outcome: oneshot::Receiver<Outcome>) {
         self.spawn(async move |agent| {
--- a/crates/node/src/agent/log.rs
+++ b/crates/node/src/agent/log.rs
@@ -47,9 +47,8 @@
                 info!(log, "servers restored from the disk"; "count" => count, "draining" => draining,
                     "first" => first.as_str());
             }
-            LogEvent::DepartureConfirmed { server, state } => {
-                info!(log, "departure of a server confirmed before it is on the disk";
-                    "server" => server.as_str(), "state" => state_name(*state));
+            LogEvent::DeparturesStored { count, first } => {
+                info!(log, "departures of servers stored"; "count" => count, "first" => first.as_str());
             }
             LogEvent::DepartureAcknowledged { server, state, disks } => {
                 info!(log, "departure of a server acknowledged"; "server" => server.as_str(),
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -162,9 +162,9 @@
         self.handle(|engine, _| engine.settings_reloaded(settings));
     }
 
-    /// Adds the servers that were stored on the disk before a restart.
-    pub fn restore_servers(self: &Rc<Self>, servers: Vec<Server>) {
-        self.handle(|engine, now| engine.restore_servers(servers, now));
+    /// Adds the servers, and the departures of servers, that were stored on the disk before a restart.
+    pub fn restore_servers(self: &Rc<Self>, servers: Vec<Server>, departures: Vec<Server>) {
+        self.handle(|engine, now| engine.restore_servers(servers, departures, now));
     }
 
     /// Returns a digest of the directory and of the configuration version in force. Processes with equal
--- a/crates/node/src/agent/operator_calls.rs
+++ b/crates/node/src/agent/operator_calls.rs
@@ -16,7 +16,7 @@
 use crate::document::Faults;
 use crate::engine::OPERATION_TIMEOUT;
 
-/// Time within which a quorum must apply that a server is draining or has terminated, for the server's call
+/// Time within which a quorum must sync that a server is draining or has terminated, for the server's call
 /// to be acknowledged.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -88,28 +88,29 @@
     }
 
     /// Records the heartbeat of a server. If the server is draining, waits until a quorum of the members has
-    /// applied this, so that the acknowledged state survives a failure of this process.
+    /// applied this and synced it to disk, so that the acknowledged state survives the loss of all processes.
     ///
     /// # Errors
     ///
-    /// If no quorum has applied the draining state in time. A quorum may still apply it later.
+    /// If no quorum has synced the draining state in time. A quorum may still do so later.
     pub async fn record_heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) -> Result<(), NoQuorum> {
         let (id, needs_acknowledgement) = (heartbeat.id.clone(), heartbeat.state > ServerState::Ready);
         self.handle(|engine, now| engine.record_heartbeat(heartbeat, now));
         if needs_acknowledgement { self.await_server_update(&id).await } else { Ok(()) }
     }
 
-    /// Records that a server has terminated, and waits until a quorum of the members has applied this.
+    /// Records that a server has terminated, and waits until a quorum of the members has applied this and
+    /// synced it to disk.
     ///
     /// # Errors
     ///
-    /// If no quorum has applied it in time. A quorum may still apply it later.
+    /// If no quorum has synced it in time. A quorum may still do so later.
     pub async fn deregister(self: &Rc<Self>, id: &ServerId) -> Result<(), NoQuorum> {
         self.handle(|engine, now| engine.deregister(id, now));
         self.await_server_update(id).await
     }
 
-    /// Waits until a quorum of the members has applied what is known of a server.
+    /// Waits until a quorum of the members has applied and synced what is known of a server.
     async fn await_server_update(self: &Rc<Self>, id: &ServerId) -> Result<(), NoQuorum> {
         let server = self.engine.borrow().directory().server_or_tombstone(id);
         self.await_quorum(Update::Server(server.ok_or(NoQuorum)?)).await
--- a/crates/node/src/disk/mod.rs
+++ b/crates/node/src/disk/mod.rs
@@ -3,8 +3,10 @@
 //!
 //! The complete state is written with a sequence number to two stores in turn. A power failure can only
 //! corrupt the store that is being written; the other one was synced before and is intact.
+//! Departures of servers are appended to a log of their own.
 
 mod counters;
+mod departure_log;
 mod medium;
 mod store;
 mod stored_state;
@@ -22,12 +24,14 @@
 use tokio::sync::oneshot;
 
 pub use counters::DiskCounters;
+pub use departure_log::DepartureWrite;
 pub use medium::{FileSystem, Medium};
 pub use store::StoreError;
 pub use stored_state::{RecoveredState, StoredState, UnreadableStore};
-pub use write_queue::{DiskQueue, PendingWrite};
+pub use write_queue::{DiskQueue, PendingDepartures, PendingWrite};
 
 use counters::{CountingMedium, SharedCounters};
+use departure_log::DepartureLog;
 use store::Store;
 use write_queue::SharedQueue;
 
@@ -89,7 +93,8 @@
         let counters = Arc::<SharedCounters>::default();
         let medium: Arc<dyn Medium> = Arc::new(CountingMedium::new(medium, counters.clone()));
         let stores = STORE_DIRS.map(|name| Store::new(dir.join(name), medium.clone()));
-        let mut writer = writer::DiskWriter::new(stores, medium);
+        let departures = DepartureLog::new(dir.clone(), medium.clone());
+        let mut writer = writer::DiskWriter::new(stores, departures, medium);
         let recovered = writer.recover();
         let (disk, queue) = Disk::with_counters(counters);
         let write = move || {
@@ -115,6 +120,15 @@
         self.queue.update(|pending| pending.add_servers(servers));
     }
 
+    /// Queues a change of the log of departures. The receiver is notified once the change is synced, which does
+    /// not happen while the disk fails.
+    #[must_use]
+    pub fn save_departures(&self, write: DepartureWrite) -> oneshot::Receiver<()> {
+        let (done, synced) = oneshot::channel();
+        self.queue.update(|pending| pending.add_departures(write, done));
+        synced
+    }
+
     /// Returns the number of operations since the disk was opened.
     #[must_use]
     pub fn counters(&self) -> DiskCounters {
--- a/crates/node/src/disk/stored_state.rs
+++ b/crates/node/src/disk/stored_state.rs
@@ -17,8 +17,8 @@
     pub(super) sequence: u64,
     /// State of the replica; `None` before the first write.
     pub replica: Option<ReplicaState>,
-    /// Servers that were known at the time of the write. Only a hint that may be outdated; no
-    /// acknowledgement depends on it.
+    /// Servers that were known at the time of the write. Only a hint that may be outdated; what servers
+    /// have reported of their departure is in a log of its own.
     #[serde(default)]
     pub servers: Arc<Vec<Server>>,
 }
@@ -40,6 +40,8 @@
     pub replica: Option<ReplicaState>,
     /// Servers that were known when the state was written.
     pub servers: Vec<Server>,
+    /// Records of the log of departures, in the order in which they were written.
+    pub departures: Vec<Server>,
     /// Reasons why stores could not be used, one for each such store.
     pub unreadable: Vec<UnreadableStore>,
 }
@@ -51,6 +53,7 @@
         RecoveredState {
             replica: self.replica.clone(),
             servers: self.servers.to_vec(),
+            departures: Vec::new(),
             unreadable: Vec::new(),
         }
     }
--- a/crates/node/src/disk/write_queue.rs
+++ b/crates/node/src/disk/write_queue.rs
@@ -9,13 +9,31 @@
 use parking_lot::{Condvar, Mutex};
 use tokio::sync::oneshot;
 
-use super::StoredState;
+use super::{DepartureWrite, StoredState};
+
+/// Change of the log of departures, and the callers that wait for its sync.
+pub struct PendingDepartures {
+    /// Change to write.
+    pub write: DepartureWrite,
+    waiters: Vec<oneshot::Sender<()>>,
+}
+
+impl PendingDepartures {
+    /// Notifies all waiting callers that the change is synced.
+    pub fn notify_synced(self) {
+        for done in self.waiters {
+            // The receiver is gone if the caller no longer waits.
+            let _ = done.send(());
+        }
+    }
+}
 
 /// State to be written. Newer state replaces older state that is not yet written.
 #[derive(Default)]
 pub struct PendingWrite {
     replica: Option<ReplicaState>,
     servers: Option<Arc<Vec<Server>>>,
+    departures: Option<PendingDepartures>,
     waiters: VecDeque<oneshot::Sender<()>>,
 }
 
@@ -31,8 +49,22 @@
         self.servers = Some(Arc::new(servers));
     }
 
+    pub(super) fn add_departures(&mut self, write: DepartureWrite, done: oneshot::Sender<()>) {
+        let (write, mut waiters) = match self.departures.take() {
+            Some(earlier) => (earlier.write.followed_by(write), earlier.waiters),
+            None => (write, Vec::new()),
+        };
+        waiters.push(done);
+        self.departures = Some(PendingDepartures { write, waiters });
+    }
+
     fn is_empty(&self) -> bool {
-        self.waiters.is_empty() && self.servers.is_none()
+        self.waiters.is_empty() && self.servers.is_none() && self.departures.is_none()
+    }
+
+    /// Takes the change of the log of departures, which is to be written before the state.
+    pub fn take_departures(&mut self) -> Option<PendingDepartures> {
+        self.departures.take()
     }
 
     /// Applies this write to the state on a disk. Returns whether the state has changed and must be written.
--- a/crates/node/src/disk/writer.rs
+++ b/crates/node/src/disk/writer.rs
@@ -2,22 +2,26 @@
 
 use std::sync::Arc;
 
+use ashvane_gossip::Server;
+
+use super::departure_log::DepartureLog;
 use super::store::{Store, StoreError};
-use super::{DiskQueue, Medium, RecoveredState, StoredState, UnreadableStore};
+use super::{DiskQueue, Medium, PendingDepartures, RecoveredState, StoredState, UnreadableStore};
 
 /// Writer of the state into two stores in turn.
 pub(super) struct DiskWriter {
     stores: [Store; 2],
+    departures: DepartureLog,
     medium: Arc<dyn Medium>,
     state: StoredState,
 }
 
 impl DiskWriter {
-    pub(super) fn new(stores: [Store; 2], medium: Arc<dyn Medium>) -> Self {
-        DiskWriter { stores, medium, state: StoredState::default() }
+    pub(super) fn new(stores: [Store; 2], departures: DepartureLog, medium: Arc<dyn Medium>) -> Self {
+        DiskWriter { stores, departures, medium, state: StoredState::default() }
     }
 
-    /// Reads both stores and continues with the newer state.
+    /// Reads both stores and the log of departures, and continues with the newer state.
     pub(super) fn recover(&mut self) -> RecoveredState {
         let mut unreadable = Vec::new();
         for store in &mut self.stores {
@@ -27,12 +31,25 @@
                 Err(reason) => unreadable.push(reason),
             }
         }
-        RecoveredState { unreadable, ..self.state.recovered() }
+        let departures = self.recover_departures();
+        RecoveredState { unreadable, departures, ..self.state.recovered() }
+    }
+
+    fn recover_departures(&mut self) -> Vec<Server> {
+        loop {
+            match self.departures.recover() {
+                Ok(departures) => return departures,
+                Err(_) => self.medium.wait_before_retry(),
+            }
+        }
     }
 
     /// Writes queued state until the queue is closed.
     pub(super) fn run(mut self, queue: &DiskQueue) {
         while let Some(mut pending) = queue.wait() {
+            if let Some(departures) = pending.take_departures() {
+                self.write_departures(departures);
+            }
             if pending.apply_to(&mut self.state) {
                 self.write();
             }
@@ -40,6 +57,14 @@
         }
     }
 
+    /// Writes departures to their log, and retries until this succeeds.
+    fn write_departures(&mut self, departures: PendingDepartures) {
+        while self.departures.write(&departures.write).is_err() {
+            self.medium.wait_before_retry();
+        }
+        departures.notify_synced();
+    }
+
     /// Writes the state into the store whose turn it is, and retries until this succeeds. After a failure
     /// the store is cleared, because its old content may be what fills the disk; the other store still
     /// holds the last synced state.
--- a/crates/node/src/engine/command.rs
+++ b/crates/node/src/engine/command.rs
@@ -12,6 +12,7 @@
 
 use super::{LogEvent, UnsyncedResponse};
 use crate::config::Config;
+use crate::disk::DepartureWrite;
 use crate::links::{LinkId, Message};
 
 /// Handling of a response from the local replica once the replica's state is synced to disk.
@@ -64,6 +65,14 @@
     },
     /// Saves the list of servers to disk when the disk writer is free; the engine does not wait for it.
     SaveServers(Vec<Server>),
+    /// Writes departures of servers to disk, then calls
+    /// [`Engine::departures_synced`](super::Engine::departures_synced) with this number.
+    SaveDepartures {
+        /// Number of the write.
+        number: u64,
+        /// Change of the log of departures.
+        write: DepartureWrite,
+    },
     /// Calls [`Engine::poll_operations`](super::Engine::poll_operations) after this delay.
     PollOperationsAfter(Duration),
     /// Calls [`Engine::flush_updates`](super::Engine::flush_updates) at this time since the start of the
--- a/crates/node/src/engine/log_event.rs
+++ b/crates/node/src/engine/log_event.rs
@@ -67,22 +67,21 @@
         /// The first one of them.
         first: ServerId,
     },
-    /// This process has confirmed to another control node that it knows a server's report that it is draining
-    /// or has terminated, and has not saved it.
-    DepartureConfirmed {
-        /// The server.
-        server: ServerId,
-        /// State that the server reported.
-        state: ServerState,
+    /// Reports of servers that they are draining or have terminated are synced to the local disk.
+    DeparturesStored {
+        /// Number of servers.
+        count: usize,
+        /// The first one of them.
+        first: ServerId,
     },
-    /// A quorum knows a server's report that it is draining or has terminated. The server's call, which this
-    /// process received, is acknowledged.
+    /// A quorum has synced a server's report that it is draining or has terminated. The server's call, which
+    /// this process received, is acknowledged.
     DepartureAcknowledged {
         /// The server.
         server: ServerId,
         /// State that the server reported.
         state: ServerState,
-        /// Disks of the members that know it.
+        /// Disks that hold it, as far as their members have responded.
         disks: Vec<DiskId>,
     },
     /// The graceful shutdown of this process has started.
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -16,6 +16,7 @@
 //! | configuration in force | [`ConfigInForce`], [`ConfigFetch`] |
 //! | replicated register | [`Register`] |
 //! | acknowledgement by a quorum | [`QuorumAcknowledgement`] |
+//! | departures of servers on the local disk | [`DepartureRecords`] |
 //! | contact with a quorum, readiness | [`QuorumContact`], [`Readiness`], [`VerificationRequests`] |
 //! | singleton roles | [`OrphanMonitorRole`], [`MembershipRole`] |
 //! | server list saved for the next start | [`ServerHints`] |
@@ -29,6 +30,8 @@
 mod config_events;
 mod config_fetch;
 mod config_in_force;
+mod departure_events;
+mod departure_records;
 mod dialer;
 mod failure_detector;
 mod link_events;
@@ -63,6 +66,7 @@
 pub use self::command::{AfterSync, Command, SyncedResponse};
 pub use self::config_fetch::{AnnouncedVersion, ConfigFetch};
 pub use self::config_in_force::{ConfigInForce, UnusableConfig};
+pub use self::departure_records::{DepartureRecords, UnansweredUpdate};
 pub use self::dialer::{DialContext, Dialer};
 pub use self::failure_detector::FailureDetector;
 pub use self::link_table::{Link, LinkTable, Receipt, Traffic, TrafficCounters, VerificationRequest};
@@ -111,6 +115,7 @@
     register: Option<Register>,
     register_reads: RegisterReads,
     acknowledgements: BTreeMap<u64, QuorumAcknowledgement>,
+    departures: DepartureRecords,
     readiness: Readiness,
     verification_requests: VerificationRequests,
     orphan_monitor: OrphanMonitorRole,
@@ -162,6 +167,7 @@
             register,
             register_reads: RegisterReads::default(),
             acknowledgements: BTreeMap::new(),
+            departures: DepartureRecords::default(),
             readiness,
             verification_requests: VerificationRequests::default(),
             orphan_monitor: OrphanMonitorRole::default(),
--- a/crates/node/src/engine/quorum_acknowledgement.rs
+++ b/crates/node/src/engine/quorum_acknowledgement.rs
@@ -37,12 +37,15 @@
     /// update.
     sent_over: BTreeMap<LinkId, DiskId>,
     applied_by: BTreeSet<DiskId>,
+    /// Whether the local disk did not count from the start.
+    waits_for_local_disk: bool,
     done: Option<oneshot::Sender<()>>,
 }
 
 impl QuorumAcknowledgement {
     /// Starts a wait for an update that this process has applied. `own`, the local disk, counts towards the
-    /// quorum if it is a member. `done` is notified once a quorum has applied the update.
+    /// quorum if it is a member; `None` if the update is not synced to it yet. `done` is notified once a quorum
+    /// has applied the update.
     #[must_use]
     pub fn new(
         update: Update, membership: Membership, own: Option<DiskId>, done: oneshot::Sender<()>,
@@ -51,6 +54,7 @@
             update,
             memberships: vec![membership],
             sent_over: BTreeMap::new(),
+            waits_for_local_disk: own.is_none(),
             applied_by: own.into_iter().collect(),
             done: Some(done),
         };
@@ -102,6 +106,18 @@
         }
     }
 
+    /// Records that the update is synced to the local disk.
+    pub fn applied_locally(&mut self, own: &DiskId) {
+        self.applied_by.insert(own.clone());
+        self.notify_if_done();
+    }
+
+    /// Whether the update was new to this process when the wait began, so that it had to be synced first.
+    #[must_use]
+    pub fn is_first_wait(&self) -> bool {
+        self.waits_for_local_disk
+    }
+
     /// Adds a membership whose quorum is required too.
     pub fn membership_changed(&mut self, membership: Membership) {
         self.memberships.push(membership);
--- a/crates/node/src/engine/server_events.rs
+++ b/crates/node/src/engine/server_events.rs
@@ -32,8 +32,10 @@
 
     /// Adds the servers saved before a restart, which are better than none until heartbeats arrive. Some may
     /// have ended since, so each is added as timed out with heartbeat sequence 0, which any newer entry from
-    /// another process supersedes.
-    pub fn restore_servers(&mut self, servers: Vec<Server>, now: Duration) {
+    /// another process supersedes. The saved departures rank above them.
+    pub fn restore_servers(&mut self, servers: Vec<Server>, departures: Vec<Server>, now: Duration) {
+        self.departures.restored(departures.len());
+        self.directory.restore_departures(departures, now);
         let restored =
             |server| Update::Server(Server { heartbeat_sequence: 0, liveness: Liveness::TimedOut, ..server });
         if let Some(first) = servers.first() {
@@ -51,7 +53,8 @@
         }
         let number = self.next_message_number();
         let (done, applied) = oneshot::channel();
-        let (membership, own) = (self.directory.membership().clone(), self.own_disk().cloned());
+        let own = self.own_disk().filter(|_| self.departures.is_synced(&update)).cloned();
+        let membership = self.directory.membership().clone();
         let acknowledgement = QuorumAcknowledgement::new(update, membership, own, done);
         self.acknowledgements.insert(number, acknowledgement);
         self.request_acknowledgements();
@@ -60,10 +63,11 @@
 
     /// Removes a pending acknowledgement, completed or not.
     pub fn acknowledgement_ended(&mut self, number: u64) {
-        let Some(ended) = self.acknowledgements.remove(&number).filter(QuorumAcknowledgement::is_done) else {
-            return;
-        };
-        if let Update::Server(server) = ended.update() {
+        let Some(ended) = self.acknowledgements.remove(&number) else { return };
+        if let Update::Server(server) = ended.update()
+            && ended.is_done()
+            && ended.is_first_wait()
+        {
             let (server, state) = (server.id.clone(), server.reported_state());
             let disks = ended.confirmed_by().cloned().collect();
             self.log(LogEvent::DepartureAcknowledged { server, state, disks });
--- a/crates/node/src/engine/server_hints.rs
+++ b/crates/node/src/engine/server_hints.rs
@@ -25,12 +25,6 @@
             updates.iter().any(|update| matches!(update, Update::Server(server) if is_stopping(server)));
     }
 
-    /// Whether the list has been passed to the disk at this revision of the directory.
-    #[must_use]
-    pub fn is_saved(&self, revision: u64) -> bool {
-        revision == self.saved_revision
-    }
-
     /// Whether to save the list now, at this revision of the directory. A server that starts to drain or
     /// terminates causes a save at once, so that a restart does not restore it.
     pub fn should_save(&mut self, revision: u64, now: Duration) -> bool {
--- a/crates/node/src/engine/status_report.rs
+++ b/crates/node/src/engine/status_report.rs
@@ -32,7 +32,7 @@
             "configuration": self.configuration_status(now),
             "duties": self.roles_status(&live),
             "said": self.traffic_status(),
-            "disk": context.disk.map(|disk| json!({"writes": disk.writes, "syncs": disk.syncs})),
+            "disk": context.disk.map(|disk| self.disk_status(disk)),
             "disks": members.iter().map(|member| member_status(member, &live)).collect::<Vec<_>>(),
             "nodes": self.directory.nodes().map(|node| self.node_status(node)).collect::<Vec<_>>(),
             "servers": self.directory.running_servers().map(server_status).collect::<Vec<_>>(),
@@ -80,6 +80,14 @@
         ])
     }
 
+    fn disk_status(&self, disk: DiskCounters) -> Value {
+        json!({
+            "writes": disk.writes,
+            "syncs": disk.syncs,
+            "departures unsynced": self.departures.unsynced_count(),
+        })
+    }
+
     fn traffic_status(&self) -> Value {
         let sent = self.links.counters.sent.iter();
         sent.map(
--- a/crates/node/src/engine/tick.rs
+++ b/crates/node/src/engine/tick.rs
@@ -20,6 +20,7 @@
         self.report_replica();
         self.change_membership_if_due(now);
         self.save_servers_if_due(now);
+        self.departures.expire(now);
         if self.anti_entropy.is_digest_due(now) {
             let links = self.links.iter().map(|(id, _)| id).collect();
             self.send_digest(links, now);
--- a/crates/node/src/engine/update_events.rs
+++ b/crates/node/src/engine/update_events.rs
@@ -4,11 +4,12 @@
 
 use ashvane_gossip::Update;
 
-use super::{Command, Engine, FlushTime, Link, LogEvent, QueuedUpdates, UpdateOrigin};
+use super::{Command, Engine, FlushTime, Link, QueuedUpdates, UnansweredUpdate, UpdateOrigin};
 use crate::links::{LinkId, Message};
 
 impl Engine {
-    /// Applies updates from a peer, and acknowledges them if `number` is above 0.
+    /// Applies updates from a peer, and acknowledges them if `number` is above 0, once the departures of servers
+    /// among them are synced to the local disk.
     pub(super) fn updates_received(
         &mut self, link: LinkId, number: u64, updates: Vec<Update>, now: Duration,
     ) {
@@ -16,22 +17,7 @@
         let updates_to_acknowledge = is_response_requested.then(|| updates.clone());
         self.apply_updates(updates, Some(link), now);
         if let Some(updates) = updates_to_acknowledge {
-            let is_applied = updates.iter().all(|update| self.directory.has_applied(update));
-            let epoch = self.directory.membership().epoch;
-            self.log_unsaved_departures(&updates);
-            self.send(vec![link], Message::UpdateApplied { number, is_applied, epoch });
-        }
-    }
-
-    fn log_unsaved_departures(&mut self, updates: &[Update]) {
-        if self.server_hints.is_saved(self.directory.revision()) {
-            return;
-        }
-        for update in updates {
-            if let Update::Server(server) = update {
-                let (server, state) = (server.id.clone(), server.reported_state());
-                self.log(LogEvent::DepartureConfirmed { server, state });
-            }
+            self.answer_update_when_synced(UnansweredUpdate { link, number, updates, received_at: now });
         }
     }
 
@@ -61,6 +47,7 @@
     /// Passes changed entries on to other processes and to the local data plane. `from` is the link over
     /// which they were received, if any.
     pub(super) fn disseminate(&mut self, updates: Vec<Update>, from: Option<LinkId>, now: Duration) {
+        self.save_departures();
         if updates.is_empty() {
             return;
         }
--- a/crates/node/src/program/mod.rs
+++ b/crates/node/src/program/mod.rs
@@ -80,7 +80,7 @@
     role: Role, settings: &Settings, address: Address, log: &Logger,
 ) -> Result<Rc<Agent>, StartError> {
     let incarnation = fastrand::u64(..);
-    let (local_replica, known_servers) = open_disk(settings, log).await?;
+    let (local_replica, StoredServers { servers, departures }) = open_disk(settings, log).await?;
     if role == Role::Control && local_replica.is_none() {
         return Err(StartError::MissingDataDir);
     }
@@ -95,23 +95,31 @@
         transport: Rc::new(TcpTransport),
         log: log.clone(),
     });
-    agent.restore_servers(known_servers);
+    agent.restore_servers(servers, departures);
     Ok(agent)
 }
 
+/// What a disk holds of servers.
+#[derive(Default)]
+struct StoredServers {
+    servers: Vec<Server>,
+    departures: Vec<Server>,
+}
+
 /// Opens the disk, if the process has one, and returns the replica and the servers stored on it.
 async fn open_disk(
     settings: &Settings, log: &Logger,
-) -> Result<(Option<LocalReplica>, Vec<Server>), StartError> {
-    let Some(dir) = &settings.data_dir else { return Ok((None, Vec::new())) };
+) -> Result<(Option<LocalReplica>, StoredServers), StartError> {
+    let Some(dir) = &settings.data_dir else { return Ok((None, StoredServers::default())) };
     let (disk, mut recovered) =
         Disk::open(dir).map_err(|reason| StartError::Disk { dir: dir.clone(), reason })?;
     let servers = std::mem::take(&mut recovered.servers);
+    let departures = std::mem::take(&mut recovered.departures);
     let replica = recover_replica(settings, &disk, recovered, log).await;
-    info!(log, "disk opened"; "name" => replica.state().disk.as_str(),
+    info!(log, "disk opened"; "departures" => departures.len(), "name" => replica.state().disk.as_str(),
         "epoch" => replica.state().membership.epoch,
         "version" => replica.accepted_config().map_or(0, |config| config.version));
-    Ok((Some(LocalReplica { replica, disk }), servers))
+    Ok((Some(LocalReplica { replica, disk }), StoredServers { servers, departures }))
 }
 
 /// Returns the entry of this process that is sent to other processes.
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -1,6 +1,9 @@
 //! Durability of a disk: its content after a power loss, and with one of its two stores torn, damaged or
 //! missing.
 
+#[path = "disk/departures.rs"]
+mod departures;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::{Path, PathBuf};
--- a/crates/node/tests/engine.rs
+++ b/crates/node/tests/engine.rs
@@ -5,6 +5,8 @@
 mod configuration;
 #[path = "engine/connections.rs"]
 mod connections;
+#[path = "engine/departures.rs"]
+mod departures;
 #[path = "engine/events.rs"]
 mod events;
 #[path = "engine/roles.rs"]
--- a/crates/node/tests/quorum_acknowledgement.rs
+++ b/crates/node/tests/quorum_acknowledgement.rs
@@ -82,6 +82,24 @@
     assert!(!is_done(&mut none), "an empty membership has no quorum");
 }
 
+/// Guards against acknowledgements that count the local disk before the update is on it.
+#[test]
+fn the_local_disk_counts_only_once_the_update_is_synced_to_it() {
+    let (mut acknowledgement, mut applied) = begin(membership(1, "abc"), None);
+    acknowledgement.links_to_send_over(&links("bc"));
+    respond(&mut acknowledgement, 1, true, 1);
+    assert!(!is_done(&mut applied), "b alone is no majority");
+    acknowledgement.applied_locally(&"x".into());
+    assert!(!is_done(&mut applied), "x is not a member");
+    acknowledgement.applied_locally(&"a".into());
+    assert!(is_done(&mut applied));
+    let (mut acknowledgement, mut applied) = begin(membership(1, "abc"), None);
+    acknowledgement.links_to_send_over(&links("bc"));
+    respond(&mut acknowledgement, 1, true, 1);
+    respond(&mut acknowledgement, 2, true, 1);
+    assert!(is_done(&mut applied), "a majority without the local disk is enough");
+}
+
 #[test]
 fn both_memberships_of_a_change_need_a_quorum() {
     // Links 1 and 2 lead to the other members of the old membership, links 4 to 6 to those of the new one.
--- a/crates/node/tests/scripted/mod.rs
+++ b/crates/node/tests/scripted/mod.rs
@@ -13,7 +13,7 @@
 use ashvane_gossip::{Heartbeat, ServerState};
 use ashvane_node::agent::{Agent, AgentParts, LocalReplica, PutOutcome};
 use ashvane_node::data_plane::DataPlane;
-use ashvane_node::disk::{Disk, StoredState};
+use ashvane_node::disk::{Disk, PendingDepartures, StoredState};
 use ashvane_node::engine::TICK_INTERVAL;
 use ashvane_node::front::ClientConnections;
 use ashvane_node::links::{Connecting, Transport};
@@ -162,6 +162,7 @@
         loop {
             sleep(ms(1)).await;
             let Some(mut pending_write) = inbox.take() else { continue };
+            pending_write.take_departures().into_iter().for_each(PendingDepartures::notify_synced);
             pending_write.apply_to(&mut state);
             pending_write.notify_synced();
         }
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -13,6 +13,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use ashvane_gossip::Server;
 use ashvane_identifiers::Address;
 use ashvane_node::agent::{Agent, AgentParts, LocalReplica};
 use ashvane_node::disk::{Disk, StoredState};
@@ -289,7 +290,17 @@
 #[derive(Clone)]
 pub(crate) struct Storage {
     pub synced_state: Rc<RefCell<StoredState>>,
+    /// The synced log of departures.
+    pub departures: Rc<RefCell<Vec<Server>>>,
     pub sync_time: Rc<Cell<Duration>>,
+    /// Number of syncs.
+    pub sync_count: Rc<Cell<u64>>,
+}
+
+/// Waits for one sync of a disk.
+async fn sync(storage: &Storage) {
+    storage.sync_count.set(storage.sync_count.get() + 1);
+    sleep(storage.sync_time.get()).await;
 }
 
 /// Future that runs all tasks of a process. It can be frozen. All tasks end when it is dropped, or when the
@@ -349,7 +360,9 @@
     ) -> Self {
         let storage = has_disk.then(|| Storage {
             synced_state: Rc::default(),
+            departures: Rc::default(),
             sync_time: Rc::new(Cell::new(DEFAULT_SYNC_TIME)),
+            sync_count: Rc::default(),
         });
         let healthy_since = Cell::new(Some(Instant::now()));
         let ip = format!("10.0.{}.{}", number / 250, number % 250);
@@ -395,7 +408,10 @@
 
     /// Erases its disk.
     pub(crate) fn wipe(&self) {
-        self.storage.iter().for_each(|storage| drop(storage.synced_state.take()));
+        if let Some(storage) = &self.storage {
+            storage.synced_state.take();
+            storage.departures.take();
+        }
     }
 
     /// Ends the process at once. State that has not been synced is lost.
@@ -583,19 +599,25 @@
     let address = format!("{}:7080", settings.ip);
     let (listener, mut connections) = mpsc::unbounded_channel();
     network.listeners.borrow_mut().insert(address.clone(), listener);
-    let mut recovered_servers = Vec::new();
+    let (mut recovered_servers, mut recovered_departures) = (Vec::new(), Vec::new());
     let mut local_replica = None;
     if let Some(storage) = storage {
         let mut recovered = storage.synced_state.borrow().recovered();
         recovered_servers = std::mem::take(&mut recovered.servers);
+        recovered_departures = storage.departures.borrow().clone();
         let (disk, inbox) = Disk::new();
         spawn_local(async move {
             loop {
                 sleep(ms(1)).await;
                 let Some(mut pending_write) = inbox.take() else { continue };
+                if let Some(departures) = pending_write.take_departures() {
+                    sync(&storage).await;
+                    departures.write.apply_to(&mut storage.departures.borrow_mut());
+                    departures.notify_synced();
+                }
                 let mut state = storage.synced_state.borrow().clone();
                 if pending_write.apply_to(&mut state) {
-                    sleep(storage.sync_time.get()).await;
+                    sync(&storage).await;
                     *storage.synced_state.borrow_mut() = state;
                 }
                 pending_write.notify_synced();
@@ -609,7 +631,7 @@
     let transport = Rc::new(Endpoint { network, own_ip: settings.ip.clone() });
     let parts = AgentParts { settings, own, local_replica, data_plane: None, transport, log };
     let agent = Agent::new(parts);
-    agent.restore_servers(recovered_servers);
+    agent.restore_servers(recovered_servers, recovered_departures);
     *agent_slot.borrow_mut() = Some(agent.clone());
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
