What is recovered from an incomplete log of departures is stored again

Cause: where the very first write of the log was torn, a control node took the lines that it could read for stored. The next departure began the log anew without them, so that they could be confirmed to others and yet be lost with the next loss of power. Found by reading the recovery again.

Change: where neither file is complete, what could be read is written and synced before the disk counts as opened.

Measured, test on the code before: node disk "what_is_recovered_from_an_incomplete_log_is_stored_again" failed: "the first 160 bytes: left: [i-9], right: [i-0, i-9]". Now it passes, at each cut of the first write.

--- a/crates/node/src/disk/departure_log.rs
+++ b/crates/node/src/disk/departure_log.rs
@@ -145,12 +145,16 @@
         let contents = [self.read_file(0)?, self.read_file(1)?];
         let generations = contents.each_ref().map(FileContent::complete_generation);
         let newest = (0..contents.len()).max_by_key(|file| generations[*file]).unwrap_or_default();
+        let [first, second] = contents;
         let Some(generation) = generations[newest] else {
             // Neither file is complete, so nothing was ever confirmed; what can be read is still true.
-            return Ok(contents.into_iter().flat_map(|content| content.records).collect());
+            let records = [first.records, second.records].concat();
+            if !records.is_empty() {
+                self.rewrite(&records, None)?;
+            }
+            return Ok(records);
         };
-        let [a, b] = contents;
-        let content = if newest == 0 { a } else { b };
+        let content = if newest == 0 { first } else { second };
         self.medium.sync(&self.path(newest))?;
         self.medium.sync(&self.dir)?;
         self.position = Some(Position { file: newest, synced_len: content.valid_len, generation });
--- a/crates/node/tests/disk/departures.rs
+++ b/crates/node/tests/disk/departures.rs
@@ -161,6 +161,26 @@
     }
 }
 
+/// The very first write is torn: what is recovered of it stays on the disk when the next departure is written.
+#[test]
+fn what_is_recovered_from_an_incomplete_log_is_stored_again() {
+    let dir = scratch_folder("departures-first");
+    let (disk, _) = open(&dir);
+    append(&disk, 0..4);
+    disk.close();
+    let bytes = std::fs::read(dir.join("departures-a")).expect("the log can be read");
+    for len in 0..bytes.len() {
+        let torn = scratch_folder("departures-first-torn");
+        std::fs::create_dir_all(&torn).expect("the folder can be created");
+        std::fs::write(torn.join("departures-a"), &bytes[..len]).expect("the log can be written");
+        let (disk, found) = open(&torn);
+        assert!(departures(0..3).starts_with(&found.departures), "the first {len} bytes were written");
+        append(&disk, 9..10);
+        disk.close();
+        assert_eq!(recovered(&torn), [found.departures, departures(9..10)].concat(), "the first {len} bytes");
+    }
+}
+
 /// No departure is confirmed while the disk is full; then the blocked one is, together with a later one.
 #[test]
 fn departures_blocked_by_a_full_disk_are_confirmed_once_there_is_room() {
