Waits for a quorum of the members have a file of their own

`server_events.rs` held both the events of servers and the wait until a majority has applied an update, which the orphan monitor uses as well. The latter moves to `acknowledgement_events.rs`. No behaviour changes.

--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -24,6 +24,7 @@
 //! The engine itself only dispatches events to these structs and combines their decisions: `tick` handles the
 //! passing of time, the files that end in `_events` handle all other events.
 
+mod acknowledgement_events;
 mod anti_entropy;
 mod command;
 mod comparison_events;
@@ -62,6 +63,7 @@
 use ashvane_quorum::membership_manager::MembershipPolicy;
 use ashvane_quorum::{Membership, Replica};
 
+pub use self::acknowledgement_events::PendingAcknowledgement;
 pub use self::anti_entropy::{AntiEntropy, RepairContext};
 pub use self::command::{AfterSync, Command, SyncedResponse};
 pub use self::config_fetch::{AnnouncedVersion, ConfigFetch};
@@ -80,7 +82,6 @@
     OPERATION_TIMEOUT, OutgoingRequest, Register, RegisterCommands, RequestPath, StartedOperation,
     UnsyncedResponse,
 };
-pub use self::server_events::PendingAcknowledgement;
 pub use self::server_hints::ServerHints;
 pub use self::status_report::StatusContext;
 pub use self::update_queue::{FlushTime, QueuedUpdates, UpdateOrigin, UpdateQueue};
