--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -301,6 +301,17 @@
     pub address: String,
     pub is_beating: Arc<AtomicBool>,
     pub is_draining: Arc<AtomicBool>,
+    /// Once it is false, the server has crashed: it accepts no connection, and answers nothing.
+    pub is_up: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Ends the server as a crash does: it says nothing.
+    pub fn crash(&self, record: &Record) {
+        self.is_up.store(false, Ordering::SeqCst);
+        self.is_beating.store(false, Ordering::SeqCst);
+        record.say(format!("server {} crashes", self.id));
+    }
 }
 
 pub struct ServerSpec {
@@ -317,13 +328,20 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("a bound listener has an address").to_string();
     let (is_beating, is_draining) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
+    let is_up = Arc::new(AtomicBool::new(true));
     let (id, record) = (spec.id.clone(), record.clone());
     {
-        let (id, work_ms, record) = (id.clone(), spec.work_ms, record.clone());
+        let (id, work_ms, record, is_up) = (id.clone(), spec.work_ms, record.clone(), is_up.clone());
+        listener.set_nonblocking(true).expect("a listener can be polled");
         spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (id, runs, record) = (id.clone(), runs.clone(), record.clone());
-                spawn(move || serve(stream, &id, work_ms, &runs, &record));
+            while is_up.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(ms(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let (id, runs, record, is_up) = (id.clone(), runs.clone(), record.clone(), is_up.clone());
+                spawn(move || serve(stream, &id, work_ms, &runs, &record, &is_up));
             }
         });
     }
@@ -361,14 +379,19 @@
             }
         });
     }
-    Server { id: spec.id, address, is_beating, is_draining }
+    Server { id: spec.id, address, is_beating, is_draining, is_up }
 }
 
-fn serve(stream: TcpStream, id: &str, work_ms: (u64, u64), runs: &Mutex<Vec<Run>>, record: &Record) {
+fn serve(
+    stream: TcpStream, id: &str, work_ms: (u64, u64), runs: &Mutex<Vec<Run>>, record: &Record, is_up: &AtomicBool,
+) {
     let _ = stream.set_nodelay(true);
     let Ok(mut write) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
     while let Some(message) = read_message(&mut reader) {
+        if !is_up.load(Ordering::SeqCst) {
+            return;
+        }
         let attempt = message.header("attempt-id").to_owned();
         if message.header("target-instance") != id {
             let _ = write!(write, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -382,7 +405,10 @@
         };
         sleep(ms(random(work_ms.0, work_ms.1)));
         runs.lock().unwrap()[at].ended = record.now();
-        let body = format!("ran {attempt}");
+        if !is_up.load(Ordering::SeqCst) {
+            return;
+        }
+        let body = format!("{attempt:>16}");
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {id}.{attempt}\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
