--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -48,9 +48,11 @@
 fn run(record: &Record) -> u8 {
     let place = Place::new();
     let zone = "mmo-hall-c";
-    let mut controls: Vec<Node> = (1..=3).map(|n| place.node(&format!("core-{n}"), "control", n, &[1, 2, 3], zone, 1)).collect();
-    let mut gateways: Vec<Node> =
-        (0..GATHERERS as u8).map(|n| place.node(&format!("front-{n}"), "gateway", 11 + n, &[1, 2, 3], zone, 1)).collect();
+    let mut controls: Vec<Node> =
+        (1..=3).map(|n| place.node(&format!("core-{n}"), "control", n, &[1, 2, 3], zone, 1)).collect();
+    let mut gateways: Vec<Node> = (0..GATHERERS as u8)
+        .map(|n| place.node(&format!("front-{n}"), "gateway", 11 + n, &[1, 2, 3], zone, 1))
+        .collect();
     controls.iter_mut().for_each(|node| node.start(record));
     gateways.iter_mut().for_each(|node| node.start(record));
     let control: Vec<String> = (1..=3).map(|n| place.control(n)).collect();
@@ -64,7 +66,12 @@
     place.end_bootstrap();
     let runs = Arc::new(Mutex::new(Vec::new()));
     for n in 0..6 {
-        let spec = ServerSpec { id: format!("i-{n}"), service: "depot-billing".into(), zone: zone.into(), work_ms: WORK_MS };
+        let spec = ServerSpec {
+            id: format!("i-{n}"),
+            service: "depot-billing".into(),
+            zone: zone.into(),
+            work_ms: WORK_MS,
+        };
         start_server(spec, control.clone(), runs.clone(), record);
     }
     let entry = Arc::new(Entry::start(
@@ -146,8 +153,12 @@
     }
 }
 
-fn one_request(address: &str, gatherer: usize, record: &Record, cuts: &Mutex<Vec<Cut>>, answered: &Mutex<usize>) {
-    let Ok(mut stream) = TcpStream::connect_timeout(&address.parse().expect("an address"), ms(1000)) else { return };
+fn one_request(
+    address: &str, gatherer: usize, record: &Record, cuts: &Mutex<Vec<Cut>>, answered: &Mutex<usize>,
+) {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address.parse().expect("an address"), ms(1000)) else {
+        return;
+    };
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(Duration::from_secs_f64(DEADLINE_S)));
     let attempt = next_attempt();
@@ -158,12 +169,17 @@
     let sent = record.now();
     match read_message(&mut BufReader::new(stream)) {
         Some(answer) => {
-            record.say(format!("client: {attempt} to gatherer {gatherer}, sent at {sent:.3} s: {}", answer.status()));
+            record.say(format!(
+                "client: {attempt} to gatherer {gatherer}, sent at {sent:.3} s: {}",
+                answer.status()
+            ));
             *answered.lock().unwrap() += 1;
         }
         None => {
             let ended = record.now();
-            record.say(format!("client: {attempt}, sent at {sent:.3} s to gatherer {gatherer}, ends without an answer"));
+            record.say(format!(
+                "client: {attempt}, sent at {sent:.3} s to gatherer {gatherer}, ends without an answer"
+            ));
             cuts.lock().unwrap().push(Cut { attempt, gatherer, sent, ended });
         }
     }
@@ -178,7 +194,10 @@
     let mut lost = 0;
     for cut in cuts {
         let Some(run) = runs.iter().find(|run| run.attempt == cut.attempt) else { continue };
-        let Some(term) = terminated.get(&cut.gatherer).into_iter().flatten().rfind(|at| **at <= cut.ended) else { continue };
+        let Some(term) = terminated.get(&cut.gatherer).into_iter().flatten().rfind(|at| **at <= cut.ended)
+        else {
+            continue;
+        };
         let is_around = cut.ended <= term + GRACE_S + 1.0;
         let is_due = cut.ended - cut.sent >= DEADLINE_S - 0.1;
         let is_excused = cut.sent <= term + 3.0 && cut.ended >= term + GRACE_S * 5.0 / 6.0;
--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -69,7 +69,8 @@
 
 impl Node {
     pub fn start(&mut self, record: &Record) {
-        let log = fs::File::options().create(true).append(true).open(&self.log).expect("a log file can be opened");
+        let log =
+            fs::File::options().create(true).append(true).open(&self.log).expect("a log file can be opened");
         let child = Command::new("target/release/ashvane-node")
             .arg(self.role)
             .env_clear()
@@ -261,7 +262,11 @@
 }
 
 pub fn request(method: &str, path: &str, host: &str, headers: &str, body: &str) -> Vec<u8> {
-    format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
 }
 
 /// Puts a configuration at one of the control addresses until it is acknowledged.
@@ -346,7 +351,8 @@
         });
     }
     {
-        let (is_beating, is_draining, address, id) = (is_beating.clone(), is_draining.clone(), address.clone(), id.clone());
+        let (is_beating, is_draining, address, id) =
+            (is_beating.clone(), is_draining.clone(), address.clone(), id.clone());
         spawn(move || {
             let mut sequence = 0;
             let mut target: Option<String> = None;
@@ -363,11 +369,25 @@
                     spec.service, spec.zone
                 );
                 let at = target.clone().unwrap_or_else(|| control[next % control.len()].clone());
-                let answer = call(&at, &request("PUT", &format!("/api/instances/{id}"), &at, "Content-Type: application/json\r\n", &body), ms(1000));
+                let answer = call(
+                    &at,
+                    &request(
+                        "PUT",
+                        &format!("/api/instances/{id}"),
+                        &at,
+                        "Content-Type: application/json\r\n",
+                        &body,
+                    ),
+                    ms(1000),
+                );
                 match answer.filter(|answer| answer.status() / 100 == 2) {
                     Some(answer) => {
                         let text = String::from_utf8_lossy(&answer.body).into_owned();
-                        target = text.split("\"beat-target\":\"").nth(1).and_then(|t| t.split('"').next()).map(str::to_owned);
+                        target = text
+                            .split("\"beat-target\":\"")
+                            .nth(1)
+                            .and_then(|t| t.split('"').next())
+                            .map(str::to_owned);
                         sleep(ms(1200));
                     }
                     None => {
@@ -383,7 +403,8 @@
 }
 
 fn serve(
-    stream: TcpStream, id: &str, work_ms: (u64, u64), runs: &Mutex<Vec<Run>>, record: &Record, is_up: &AtomicBool,
+    stream: TcpStream, id: &str, work_ms: (u64, u64), runs: &Mutex<Vec<Run>>, record: &Record,
+    is_up: &AtomicBool,
 ) {
     let _ = stream.set_nodelay(true);
     let Ok(mut write) = stream.try_clone() else { return };
@@ -394,7 +415,10 @@
         }
         let attempt = message.header("attempt-id").to_owned();
         if message.header("target-instance") != id {
-            let _ = write!(write, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            let _ = write!(
+                write,
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
             continue;
         }
         let began = record.now();
@@ -403,6 +427,7 @@
             runs.push(Run { attempt: attempt.clone(), server: id.to_owned(), began, ended: f64::MAX });
             runs.len() - 1
         };
+        record.say(format!("server {id} runs {attempt}"));
         sleep(ms(random(work_ms.0, work_ms.1)));
         runs.lock().unwrap()[at].ended = record.now();
         if !is_up.load(Ordering::SeqCst) {
@@ -434,7 +459,11 @@
             spawn(move || {
                 let mut misses = 0;
                 loop {
-                    let answer = call(&address, &request("GET", "/api/readiness", &address, "Connection: close\r\n", ""), ms(1000));
+                    let answer = call(
+                        &address,
+                        &request("GET", "/api/readiness", &address, "Connection: close\r\n", ""),
+                        ms(1000),
+                    );
                     misses = if answer.is_some_and(|answer| answer.status() == 200) { 0 } else { misses + 1 };
                     let is_in = ready.lock().unwrap()[at];
                     let now_in = misses == 0 || (is_in && misses < 2);
