A gateway logs which requests its exit cuts, and why it exits then

Change: for each request open at the exit one line: when it came after SIGTERM, on which connection and as which request of it, how many calls to servers were started for it, what was left until its deadline. One line of what became of all requests since SIGTERM (submitted, answered, rejected, failed, abandoned, cut). The last line says why the exit came. Behaviour is as it was.

--- a/crates/node/src/data_plane/mod.rs
+++ b/crates/node/src/data_plane/mod.rs
@@ -377,6 +377,12 @@
         (query_id, reply_receiver)
     }
 
+    /// Number of calls to servers that were started for a query; 0 for one that has ended.
+    pub fn call_count(&self, query_id: u64) -> u32 {
+        let queries = self.queries.borrow();
+        queries.get(&query_id).map_or(0, |query| query.parts.iter().map(|part| part.call_count).sum())
+    }
+
     /// Abandons a query whose client has disconnected.
     pub fn client_disconnected(self: &Rc<Self>, query_id: u64) {
         if self.remove_query(query_id).is_some() {
--- a/crates/node/src/program/graceful_shutdown.rs
+++ b/crates/node/src/program/graceful_shutdown.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 use crate::agent::Agent;
@@ -14,6 +15,17 @@
 /// Part of the grace period that is reserved for the exit itself.
 const RESERVED_GRACE: Duration = Duration::from_millis(700);
 
+/// Why a graceful shutdown ends the process.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum ExitReason {
+    /// No client is connected, and the disk of the process is not needed.
+    #[display("nothing is pending")]
+    Idle,
+    /// The grace period is about to end, whatever is pending.
+    #[display("the grace period ends")]
+    GraceEnding,
+}
+
 /// State of a graceful shutdown. First the process reports that it is not ready, then it closes client
 /// connections after their current response. It exits once all connections are closed and its disk has left
 /// the membership, or is not needed there, or at the latest shortly before the grace period ends.
@@ -29,17 +41,23 @@
         self.began_at.get_or_insert_with(Instant::now);
     }
 
-    /// Performs the next steps of the shutdown that are due. Returns whether the process must exit now.
-    pub fn advance(&mut self, agent: &Rc<Agent>, clients: &ClientConnections) -> bool {
-        let Some(began_at) = self.began_at else { return false };
+    /// Performs the next steps of the shutdown that are due. Returns the reason to exit now, if there is one.
+    pub fn advance(&mut self, agent: &Rc<Agent>, clients: &ClientConnections) -> Option<ExitReason> {
+        let began_at = self.began_at?;
         agent.shut_down();
+        clients.shutdown_began(began_at);
         let has_clients = agent.settings.listen.gateway.is_some();
         let may_close_clients = !has_clients || began_at.elapsed() >= CLIENT_CLOSE_DELAY;
         if may_close_clients && !self.has_closed_clients {
             self.has_closed_clients = true;
             clients.close_gracefully();
         }
-        let is_grace_ending = began_at.elapsed() + RESERVED_GRACE >= agent.settings.grace;
-        self.has_closed_clients && (is_grace_ending || (clients.open_count() == 0 && agent.may_shut_down()))
+        if !self.has_closed_clients {
+            return None;
+        }
+        if began_at.elapsed() + RESERVED_GRACE >= agent.settings.grace {
+            return Some(ExitReason::GraceEnding);
+        }
+        (clients.open_count() == 0 && agent.may_shut_down()).then_some(ExitReason::Idle)
     }
 }
--- a/crates/node/src/program/mod.rs
+++ b/crates/node/src/program/mod.rs
@@ -29,7 +29,7 @@
 
 pub use ashvane_gossip::Role;
 pub use first_start::recover_replica;
-pub use graceful_shutdown::GracefulShutdown;
+pub use graceful_shutdown::{ExitReason, GracefulShutdown};
 pub use process_log::logger;
 pub use start_error::StartError;
 
@@ -69,9 +69,14 @@
     spawn_listeners(&settings, &agent, &clients)?;
     info!(log, "started"; "node" => &settings.node, "address" => &address);
     let events = ProcessEvents::new()?;
-    run_until_shut_down(events, &agent, &clients, file).await;
+    let reason = run_until_shut_down(events, &agent, &clients, file).await;
     agent.log_counters();
-    info!(log, "ended"; "open" => clients.open_count(), "busy" => clients.in_flight_count());
+    if let Some(data_plane) = agent.data_plane() {
+        clients.log_open_requests(&data_plane, &log);
+        clients.log_shutdown_counters(&log);
+    }
+    info!(log, "ended"; "open" => clients.open_count(), "busy" => clients.in_flight_count(),
+        "because" => reason.to_string());
     Ok(())
 }
 
@@ -188,10 +193,10 @@
     }
 }
 
-/// Handles ticks and signals until a shutdown is complete.
+/// Handles ticks and signals until a shutdown is complete. Returns why the process ends.
 async fn run_until_shut_down(
     mut events: ProcessEvents, agent: &Rc<Agent>, clients: &ClientConnections, file: Option<&str>,
-) {
+) -> ExitReason {
     let mut housekeeping_done_at = Instant::now();
     let mut shutdown = GracefulShutdown::default();
     loop {
@@ -206,8 +211,8 @@
             agent.log_counters();
             reload_settings(agent, file);
         }
-        if shutdown.advance(agent, clients) {
-            return;
+        if let Some(reason) = shutdown.advance(agent, clients) {
+            return reason;
         }
     }
 }
--- a/crates/node/tests/simulation/mod.rs
+++ b/crates/node/tests/simulation/mod.rs
@@ -648,7 +648,7 @@
             Some(job) = commands.jobs.recv() => job(agent.clone()),
             () = commands.termination.notified() => shutdown.begin(),
         }
-        if shutdown.advance(&agent, &clients) {
+        if shutdown.advance(&agent, &clients).is_some() {
             return;
         }
     }
