A connection of a client is closed in stages, so that no reset takes its last response

What callers saw: a response that was sent before the body of its request had been read, such as 413, or 503 in a shutdown, could be lost: the client got a reset in its place. Cause: the socket was closed with unread bytes in its receive buffer, on which the kernel sends a reset; that discards what the client has not read yet (RFC 9112, section 9.6). Change: the front keeps a handle of the stream. After the library has closed the writing side, it reads and discards until the client closes, for 0.2 s at most.

--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -2,6 +2,7 @@
 //! and sends the response.
 
 mod client_connections;
+mod lingering_stream;
 mod readiness;
 mod response;
 
@@ -20,6 +21,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use self::client_connections::{ClientConnection, InFlightRequest, RequestPosition};
+use self::lingering_stream::LingeringStream;
 use self::response::{HttpResponse, encode_reply, rejection_response, text_response};
 use crate::agent::Agent;
 use crate::config::{Config, Limits};
@@ -108,7 +110,9 @@
 ) -> impl Future<Output = ()> {
     let (id, connection) = clients.add();
     async move {
+        let (stream, lingering) = LingeringStream::new(stream);
         serve_requests(stream, id, &connection, &agent, &data_plane, &clients).await;
+        lingering.close().await;
         clients.remove(id);
     }
 }
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -479,3 +479,22 @@
         assert_eq!(response.map(|response| response.status()), Some(400));
     });
 }
+
+/// Guards against the loss of a response that is sent before the body of its request was read: a socket that is closed
+/// while it holds unread bytes is reset, and the reset discards what the client has not read yet.
+#[test]
+fn a_response_sent_before_the_body_was_read_reaches_the_client() {
+    run_test(async {
+        let (system, servers) = one_service("unread-body", "non_idempotent", vec![success("a")]).await;
+        let body = "x".repeat(4 << 20);
+        let head = format!(
+            "POST /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 1\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        for _ in 0..5 {
+            let response = send_request(system.front, &format!("{head}{body}")).await;
+            assert_eq!(response.expect("the response is complete").status(), 413);
+        }
+        assert_eq!(servers[0].requests.borrow().len(), 0);
+    });
+}
