A control node that leaves answers the calls that wait for a quorum first

What callers saw: the connection of a `put`, a `draining` heartbeat or a `DELETE` ended without an answer when its control node got SIGTERM while the disks of a majority were being written. The change took effect, and the caller asked again elsewhere.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod log;
 mod operator_calls;
+mod pending_calls;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -20,6 +21,7 @@
 use slog::Logger;
 use tokio::time::Instant;
 
+use self::pending_calls::PendingCalls;
 use crate::config::Config;
 use crate::data_plane::DataPlane;
 use crate::disk::Disk;
@@ -68,6 +70,8 @@
     engine: RefCell<Engine>,
     /// Queue of encoded messages for each link. Removing a queue closes its connection.
     queues: RefCell<BTreeMap<LinkId, MessageQueue>>,
+    /// Calls of servers and operators that wait for a quorum.
+    pending_calls: PendingCalls,
 }
 
 impl Agent {
@@ -86,6 +90,7 @@
             transport,
             engine: RefCell::new(engine),
             queues: RefCell::default(),
+            pending_calls: PendingCalls::default(),
         })
     }
 
@@ -151,6 +156,12 @@
         self.engine.borrow().may_shut_down(self.now())
     }
 
+    /// Whether every call of a server or an operator that waited for a quorum is answered.
+    #[must_use]
+    pub fn are_calls_answered(&self) -> bool {
+        self.pending_calls.are_answered()
+    }
+
     /// Advances all timers of the engine. Must be called once every
     /// [`TICK_INTERVAL`](crate::engine::TICK_INTERVAL).
     pub fn tick(self: &Rc<Self>) {
--- a/crates/node/src/agent/operator_calls.rs
+++ b/crates/node/src/agent/operator_calls.rs
@@ -55,6 +55,7 @@
             Ok(config) => config.version,
             Err(faults) => return PutOutcome::Invalid(faults),
         };
+        let _pending = self.pending_calls.begin();
         let submission = VersionedConfig {
             version,
             digest: ContentDigest::of(text),
@@ -112,6 +113,7 @@
 
     /// Waits until a quorum of the members has applied and synced what is known of a server.
     async fn await_server_update(self: &Rc<Self>, id: &ServerId) -> Result<(), NoQuorum> {
+        let _pending = self.pending_calls.begin();
         let server = self.engine.borrow().directory().server_or_tombstone(id);
         self.await_quorum(Update::Server(server.ok_or(NoQuorum)?)).await
     }
--- a/crates/node/src/program/graceful_shutdown.rs
+++ b/crates/node/src/program/graceful_shutdown.rs
@@ -19,7 +19,8 @@
 /// Why a graceful shutdown ends the process.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum ExitReason {
-    /// No client is connected, and the disk of the process is not needed.
+    /// No client is connected, no call of a server or an operator waits for a quorum, and the disk of the process is
+    /// not needed.
     #[display("nothing is pending")]
     Idle,
     /// The last answers are sent. Connections that are still open carry no request that was read completely.
@@ -38,8 +39,8 @@
 /// 3. It answers whatever is pending with what there is, and stops listening for clients.
 /// 4. It exits.
 ///
-/// It exits sooner once all client connections are closed and its disk has left the membership, or is not needed
-/// there.
+/// It exits sooner once all client connections are closed, no call of a server or an operator waits for a quorum, and
+/// its disk has left the membership, or is not needed there.
 #[derive(Debug, Default)]
 pub struct GracefulShutdown {
     began_at: Option<Instant>,
@@ -108,7 +109,7 @@
     fn exit_reason(
         &self, schedule: ShutdownSchedule, agent: &Agent, clients: &ClientConnections,
     ) -> Option<ExitReason> {
-        let is_idle = clients.open_count() == 0;
+        let is_idle = clients.open_count() == 0 && agent.are_calls_answered();
         if let Some(began_at) = self.last_answers_began_at {
             if is_idle && clients.is_listener_closed() {
                 return Some(ExitReason::Idle);
@@ -116,7 +117,7 @@
             if began_at.elapsed() < MIN_LAST_ANSWERS_TIME {
                 return None;
             }
-            if clients.busy_count() == 0 && clients.is_listener_closed() {
+            if clients.busy_count() == 0 && clients.is_listener_closed() && agent.are_calls_answered() {
                 return Some(ExitReason::Answered);
             }
             return (Instant::now() >= schedule.exit_at).then_some(ExitReason::GraceEnding);
--- a/crates/node/tests/departures.rs
+++ b/crates/node/tests/departures.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use ashvane_gossip::{Heartbeat, ServerState};
-use ashvane_node::agent::Agent;
+use ashvane_node::agent::{Agent, PutOutcome};
 use simulation::{Machine, Simulation, configuration, ms, run_simulation};
 use tokio::time::sleep;
 
@@ -391,3 +391,39 @@
         }
     });
 }
+
+/// Guards against a control node that exits while a server or an operator waits for the disks of a majority: the caller
+/// would not learn that its call has taken effect.
+#[test]
+fn calls_that_wait_for_disks_are_answered_before_their_control_node_exits() {
+    run_simulation(async {
+        let simulation = start_system(&["i-1", "i-2"]).await;
+        let nodes = simulation.control_nodes();
+        for node in &nodes {
+            node.storage.as_ref().expect("a control node has a disk").sync_time.set(ms(100));
+        }
+        let leaving = nodes[4].clone();
+        let text = configuration(2, 0);
+        let calls = spawn_calls(&leaving, text);
+        sleep(ms(10)).await;
+        let exited_after = leaving.terminate(&simulation.network).await;
+        assert!(exited_after.is_some_and(|time| time < ms(3000)), "{exited_after:?}");
+        assert_eq!(calls.await.expect("the calls do not panic"), (true, true, true));
+    });
+}
+
+/// Lets two servers depart and an operator put a configuration at the same moment. Returns which of them were answered.
+fn spawn_calls(node: &Rc<Machine>, text: String) -> tokio::task::JoinHandle<(bool, bool, bool)> {
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let put = node.call(CALL_TIMEOUT, async move |agent: Rc<Agent>| {
+            matches!(agent.put(text.as_bytes()).await, PutOutcome::Accepted { version: 2 })
+        });
+        let (draining, gone, put) = tokio::join!(
+            report(&node, "i-1", Departure::Draining),
+            report(&node, "i-2", Departure::Deregistration),
+            put
+        );
+        (draining, gone, put == Some(true))
+    })
+}
